--- /dev/null
+++ b/src/choice.cpp
@@ -0,0 +1,702 @@
+// All decisions of a gatekeeper. The interface and what the module does to the world stand in choice.hpp;
+// plain data in state.hpp, settings in terms.hpp. Make one Choice for each gatekeeper, tell it each thing
+// that happens by the call of that name with the clock's time, and carry out what it calls on Effects. It
+// asks for no clock, no thread and no other input. Each call notes what happened, then goes through the rules
+// below until none fires.
+#include "choice.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ironquay {
+namespace {
+
+using namespace std::chrono_literals;
+
+double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+Span spanning(double seconds) {
+  return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
+}
+
+// A round is long enough that its four counter calls stay under one for each API call, short enough for
+// shifts of demand that take several seconds. Gifts open it, takes may follow until the last tenth, readings
+// end it.
+constexpr Span kRound = 4s;
+constexpr Span kTakesFrom = kRound / 10;
+constexpr Span kTakesUntil = kRound * 8 / 10;
+constexpr Span kReadAt = kRound * 9 / 10;
+// A pool's name must outlive its round with room for slow calls; the counter itself allows a minute.
+constexpr Span kPoolLives = 3 * kRound;
+// Slices move in hundredths of the quota. Pool and tally ride in one number: a gift adds 1001 for each
+// quantum, a take takes off 1, so the thousands are the tally and the rest what is left, which may be below
+// nought.
+constexpr double kQuanta = 100;
+constexpr double kTally = 1000;
+
+struct Pool {
+  double tally, left;
+};
+Pool pool_of(double total) {
+  const double tally = std::floor((total + kTally / 2) / kTally);
+  return {tally, total - tally * kTally};
+}
+
+}  // namespace
+
+struct Choice::Rule {
+  bool (*holds)(const Choice&);
+  void (*act)(Choice&);
+};
+
+void Choice::settle() {
+  static const Rule rules[] = {
+      {[](const Choice& c) { return !c.state.dues.empty() && c.state.dues.begin()->first <= c.now_; },
+       [](Choice& c) { c.end_due(); }},
+      {[](const Choice& c) { return !c.state.to_judge.empty(); },
+       [](Choice& c) {
+         const CallId id = c.state.to_judge.front();
+         c.state.to_judge.pop_front();
+         c.judge(id);
+       }},
+      {[](const Choice& c) { return c.state.room_again && !c.state.waiting.empty(); },
+       [](Choice& c) { c.send_waiting(); }},
+      {[](const Choice& c) { return c.state.waiting.size() > c.waiting_limit(); },
+       [](Choice& c) { c.drop_waiting(); }},
+      {[](const Choice& c) { return !c.state.short_of.empty(); },
+       [](Choice& c) {
+         const std::string customer = std::move(c.state.short_of.front());
+         c.state.short_of.pop_front();
+         const auto found = c.state.slices.find(customer);
+         if (found != c.state.slices.end()) c.take_from_pool(customer, found->second);
+       }},
+      {[](const Choice& c) { return !c.state.agenda.empty() && c.state.agenda.begin()->first <= c.now_; },
+       [](Choice& c) { c.act_on_agenda(); }},
+      {[](const Choice& c) { return c.next_wake() < c.state.woken_for; },
+       [](Choice& c) {
+         c.state.woken_for = c.next_wake();
+         c.effects_.wake_at(c.state.woken_for);
+       }},
+  };
+  for (bool fired = true; fired;) {
+    fired = false;
+    for (const Rule& rule : rules) {
+      if (!rule.holds(*this)) continue;
+      rule.act(*this);
+      fired = true;
+      break;
+    }
+  }
+}
+
+Choice::Choice(Terms terms, std::uint32_t seed, Span now, Effects& effects)
+    : terms_(std::move(terms)), effects_(effects), now_(now) {
+  state.chance.seed(seed);
+  // Bins as shares of the latency target: fine where time-outs are set, coarse beyond it.
+  for (std::size_t i = 0; i < terms_.routes.size(); ++i) {
+    state.routes.emplace_back().latency.edges = {1. / 16, 1. / 8, 3. / 16, 1. / 4, 3. / 8,
+                                                 1. / 2,  3. / 4, 1,       2};
+  }
+  state.send_at = now;
+  if (terms_.permits.list_on_request) state.agenda.emplace(now, std::pair(Duty::ask_for_list, std::string()));
+}
+
+Span Choice::next_wake() const {
+  const Span due = state.dues.empty() ? Span::max() : state.dues.begin()->first;
+  return state.agenda.empty() ? due : std::min(due, state.agenda.begin()->first);
+}
+
+// ---- What may still be done with an API call. All code asks here.
+
+Leave Choice::leave_for(const ApiCall& call) const {
+  const Route& route = terms_.routes[call.route];
+  Leave leave;
+  const UpstreamTry* first_run = nullptr;
+  bool out = false;
+  for (const UpstreamTry& one : call.tries) {
+    out = out || one.out;
+    if (one.may_have_run && !first_run) first_run = &one;
+  }
+  if (out && !(terms_.permits.second_copy && route.repeat != Repeat::non_idempotent)) leave.send = false;
+  if (static_cast<int>(call.tries.size()) >= terms_.permits.tries || call.streaming) leave.send = false;
+  if (first_run && route.repeat == Repeat::non_idempotent) leave.send = leave.rate_limit = false;
+  if (first_run && route.repeat == Repeat::tokened) {
+    leave.bound_to = first_run;
+    // Two ticks and the way there: a repeat must reach the worker while it still recalls the first.
+    leave.send_until = first_run->sent + route.recall - 2 * terms_.tick - 10ms;
+    if (now_ >= leave.send_until) leave.send = false;
+    if (route.scope != Scope::all) leave.rate_limit = false;
+  }
+  return leave;
+}
+
+void Choice::give_up(CallId id, Span come_back) {
+  ApiCall& call = state.calls.at(id);
+  const Leave leave = leave_for(call);
+  for (std::size_t i = 0; i < call.tries.size(); ++i) {
+    if (!call.tries[i].out) continue;
+    // No answer by now tells of the worker as a time-out would: hung, silent, slow or lost on the way.
+    learn(state.workers[call.tries[i].worker], call, Outcome::timed_out, now_ - call.tries[i].sent);
+    if (terms_.permits.cancel) effects_.cancel(id, i);
+  }
+  if (leave.rate_limit) {
+    effects_.rate_limit(id, advice(come_back));
+  } else {
+    effects_.error(id);
+  }
+  if (call.tries.empty() && !call.beyond) {
+    const auto slice = state.slices.find(call.customer);
+    if (slice != state.slices.end()) slice->second.stored += call.units;
+  }
+  forget(id);
+}
+
+void Choice::forget(CallId id) {
+  ApiCall& call = state.calls.at(id);
+  stop_waiting(id, call);
+  state.dues.erase({call.due, id});
+  state.calls.erase(id);
+}
+
+Span Choice::advice(Span wish) const {
+  return terms_.permits.advice ? std::clamp(wish, Span(0), terms_.permits.longest_advice) : Span(0);
+}
+
+void Choice::end_due() { give_up(state.dues.begin()->second, terms_.permits.longest_advice); }
+
+// ---- Quota: local slices, moved each round through a pool on the counter.
+
+Slice& Choice::slice_of(std::string_view customer, std::size_t plan_at, int spread) {
+  const auto [found, fresh] = state.slices.try_emplace(std::string(customer));
+  Slice& slice = found->second;
+  slice.seen = now_;
+  if (!fresh) return slice;
+  const Plan& plan = terms_.plans[plan_at];
+  slice.plan = plan_at;
+  slice.share = 1.0 / std::max(1, spread);
+  slice.rate = slice.start = plan.rate * slice.share;
+  slice.stored = plan.burst * slice.share;
+  // The ceiling's local store starts empty: a gatekeeper that starts anew must not fill it a second time.
+  slice.filled = slice.measured = now_;
+  if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
+    const Span start = round_start(found->first, round_of(found->first, now_) + 1);
+    state.agenda.emplace(start, std::pair(Duty::round_starts, found->first));
+  }
+  return slice;
+}
+
+void Choice::refill(Slice& slice) {
+  const Plan& plan = terms_.plans[slice.plan];
+  const double passed = seconds(now_ - slice.filled);
+  slice.filled = now_;
+  const double most = plan.rate > 0 ? std::max(plan.burst * slice.rate / plan.rate, terms_.most_units) : 0;
+  slice.stored = std::min(most, slice.stored + slice.rate * passed);
+  slice.ceiling =
+      std::min(plan.ceiling_burst * slice.share, slice.ceiling + plan.ceiling_rate * slice.share * passed);
+  slice.demand *= std::exp(-passed / seconds(kRound));
+}
+
+std::int64_t Choice::round_of(const std::string& customer, Span when) const {
+  return (when + shift_of(customer)) / kRound;
+}
+
+Span Choice::round_start(const std::string& customer, std::int64_t round) const {
+  return round * kRound - shift_of(customer);
+}
+
+// Rounds of different customers start at different times, the same at all gatekeepers, so that the counter's
+// calls come evenly. The sum is FNV-1a.
+Span Choice::shift_of(const std::string& customer) const {
+  std::uint64_t sum = 14695981039346656037u;
+  for (const unsigned char c : customer) sum = (sum ^ c) * 1099511628211u;
+  return Span(static_cast<std::int64_t>((sum >> 20) % static_cast<std::uint64_t>(kRound.count())));
+}
+
+void Choice::give_surplus(const std::string& customer, Slice& slice) {
+  refill(slice);
+  // Drift: every slice moves a little to its start. If all do, a right sum stays right and a wrong one heals,
+  // whether a pool was lost or a gatekeeper came back with a fresh slice. A tenth: much slower than the
+  // swaps.
+  slice.rate += 0.1 * (slice.start - slice.rate);
+  slice.given = 0;
+  if (slice.skip > 0) {
+    --slice.skip;
+    return;
+  }
+  const double quota = terms_.plans[slice.plan].rate;
+  // One API call's units a round stay, and so does the headroom of half the starting slice.
+  const double keep = std::max(slice.demand + slice.start / 2, slice.units / seconds(kRound));
+  const double quanta = std::floor((slice.rate - keep) / quota * kQuanta);
+  // A gift under a tenth of the starting slice is not worth its calls.
+  if (quanta < 0.1 * kQuanta * slice.share || now_ < state.counter_quiet_until) return;
+  slice.rate -= quanta * quota / kQuanta;
+  slice.round = round_of(customer, now_);
+  count(customer, {CountFor::gift, customer, quanta}, slice.round, quanta * (kTally + 1));
+  state.agenda.emplace(round_start(customer, slice.round) + kReadAt, std::pair(Duty::round_ends, customer));
+}
+
+void Choice::take_from_pool(const std::string& customer, Slice& slice) {
+  const std::int64_t round = round_of(customer, now_);
+  const Span into = now_ - round_start(customer, round);
+  if (into < kTakesFrom || into >= kTakesUntil || now_ < slice.next_take || slice.asked > 0) return;
+  if (now_ < state.counter_quiet_until || !terms_.permits.counter || slice.share >= 1) return;
+  const double quota = terms_.plans[slice.plan].rate;
+  const double need = std::min(std::max(slice.demand, slice.units / seconds(kRound)), quota) - slice.rate;
+  const double quanta = std::ceil(need / quota * kQuanta);
+  if (quanta < 0.1 * kQuanta * slice.share) return;
+  slice.asked = quanta;
+  count(customer, {CountFor::take, customer, quanta}, round, -quanta);
+}
+
+void Choice::read_pool(const std::string& customer, Slice& slice) {
+  if (slice.given > 0) count(customer, {CountFor::reading, customer, slice.given}, slice.round, 0);
+}
+
+void Choice::count(const std::string& customer, CountCall call, std::int64_t round, double amount) {
+  const std::string name = customer + ":" + std::to_string(round);
+  state.counting[name].push_back(std::move(call));
+  effects_.count(name, amount, kPoolLives);
+}
+
+void Choice::count_ends(Span now, std::string_view name, Outcome outcome, double total) {
+  now_ = now;
+  const auto queue = state.counting.find(std::string(name));
+  if (queue == state.counting.end() || queue->second.empty()) return;
+  const CountCall call = std::move(queue->second.front());
+  queue->second.pop_front();
+  if (queue->second.empty()) state.counting.erase(queue);
+  const bool passed = outcome == Outcome::passed;
+  if (passed) {
+    state.counter_rest = 0s;
+  } else {
+    // A counter that is silent, refusing or crowded is left alone, twice as long each time; slices stay put.
+    state.counter_rest = std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
+    state.counter_quiet_until = now + state.counter_rest;
+  }
+  const auto found = state.slices.find(call.customer);
+  if (found == state.slices.end()) return settle();
+  Slice& slice = found->second;
+  const double quantum = terms_.plans[slice.plan].rate / kQuanta;
+  const Pool pool = pool_of(total);
+  refill(slice);
+  if (call.what == CountFor::gift) {
+    // Only what is known never to have been added comes back; a gift that may have been is gone.
+    if (passed) slice.given = call.quanta;
+    if (outcome == Outcome::no_room || outcome == Outcome::no_route) slice.rate += call.quanta * quantum;
+  } else if (call.what == CountFor::take) {
+    slice.asked = 0;
+    const double over = passed ? std::clamp(-pool.left, 0.0, call.quanta) : call.quanta;
+    slice.rate += (call.quanta - over) * quantum;
+    if (passed && over > 0) {
+      const auto round = std::stoll(std::string(name.substr(name.rfind(':') + 1)));
+      count(call.customer, {CountFor::giving_back, call.customer, over}, round, over);
+    }
+    // An empty pool is asked again a round later, then after two, and so on; a gift found resets this.
+    slice.take_pause =
+        over < call.quanta ? Span(0) : std::clamp<Span>(2 * slice.take_pause, kRound, 8 * kRound);
+    slice.next_take = now + (over > 0 ? std::max<Span>(slice.take_pause, kRound / 4) : Span(0));
+  } else if (call.what == CountFor::reading && passed && pool.tally > 0) {
+    const double back = std::floor(std::max(0.0, pool.left) * std::min(1.0, call.quanta / pool.tally));
+    slice.rate += back * quantum;
+    slice.idle_gifts = pool.left >= pool.tally ? std::min(slice.idle_gifts + 1, 3) : 0;
+    slice.skip = (1 << slice.idle_gifts) - 1;
+  }
+  settle();
+}
+
+void Choice::act_on_agenda() {
+  const auto [duty, customer] = state.agenda.begin()->second;
+  state.agenda.erase(state.agenda.begin());
+  if (duty == Duty::ask_for_list) return effects_.subscribe(true);
+  if (duty == Duty::look_again) {
+    state.room_again = true;
+    return;
+  }
+  const auto found = state.slices.find(customer);
+  if (found == state.slices.end()) return;
+  if (duty == Duty::round_ends) return read_pool(customer, found->second);
+  // Unseen for eight rounds, a customer is dropped; by then its slice has drifted back to about its start.
+  if (now_ - found->second.seen > 8 * kRound) {
+    state.slices.erase(found);
+    return;
+  }
+  give_surplus(customer, found->second);
+  state.agenda.emplace(round_start(customer, round_of(customer, now_) + 1),
+                       std::pair(Duty::round_starts, customer));
+}
+
+// ---- Workers: whom to ask, how much, and for how long.
+
+double Choice::ramp(const Worker& worker) const {
+  const Promises& promises = terms_.promises;
+  const Span age = now_ - worker.started;
+  if (worker.started <= 0s || age >= promises.warm_after) return 1;
+  return promises.cold_share +
+         (1 - promises.cold_share) * std::max(0.0, seconds(age) / seconds(promises.warm_after));
+}
+
+// A cold worker gets what a warm one gets from this gatekeeper, times the least share of its capacity that it
+// can have by now. All gatekeepers doing so stay under one times its capacity, and so under any stated
+// multiple.
+void Choice::fill_cold(Worker& worker) const {
+  const double warm = ramp(worker);
+  if (warm >= 1) return;
+  // One in two seconds at the least, so that a gatekeeper that has just started finds out about it at all.
+  const double rate = std::max(0.5, state.send_rate) * warm;
+  const double most = std::max(1.0, rate * seconds(terms_.promises.fall));
+  worker.cold_budget = std::min(most, worker.cold_budget + rate * seconds(now_ - worker.cold_at));
+  worker.cold_at = now_;
+}
+
+bool Choice::may_take(const ApiCall& call, WorkerId id) const {
+  const Worker& worker = state.workers.at(id);
+  if (worker.phase != Phase::ready || worker.out >= worker.window) return false;
+  if (worker.rest_until > now_ && state.resting * 2 <= state.ready.size()) return false;
+  if (ramp(worker) < 1) {
+    // Gatekeepers take turns at a fresh worker by their own number, one round of turns in each stated window.
+    const Span turn = std::max<Span>(terms_.promises.fall / std::max(1, terms_.gatekeepers), 1us);
+    if ((now_ / turn) % terms_.gatekeepers != terms_.me || worker.cold_budget < 1) return false;
+  }
+  const Leave leave = leave_for(call);
+  if (!leave.bound_to) return true;
+  const Scope scope = terms_.routes[call.route].scope;
+  return scope == Scope::all || (scope == Scope::zone && worker.zone == leave.bound_to->zone) ||
+         (scope == Scope::cell && worker.cell == leave.bound_to->cell);
+}
+
+bool Choice::pick(const ApiCall& call, WorkerId& chosen) {
+  const std::size_t many = state.ready.size();
+  if (many == 0) return false;
+  // Fewest own tries out for its size and pace; another zone counts as half a try more where crossing has a
+  // price.
+  const auto load = [&](WorkerId id) {
+    const Worker& worker = state.workers.at(id);
+    const double far = terms_.cross_zone_price > 0 && worker.zone != terms_.zone ? 0.5 : 0;
+    return (worker.out + 1 + far) * worker.pace / worker.share;
+  };
+  const auto fits = [&](WorkerId id) {
+    if (many > 1 && !call.tries.empty() && call.tries.back().worker == id) return false;
+    fill_cold(state.workers.at(id));
+    return may_take(call, id);
+  };
+  const std::size_t a = state.chance() % many;
+  const std::size_t b = many > 1 ? (a + 1 + state.chance() % (many - 1)) % many : a;
+  const bool a_fits = fits(state.ready[a]), b_fits = fits(state.ready[b]);
+  if (a_fits || b_fits) {
+    const bool take_a = a_fits && (!b_fits || load(state.ready[a]) <= load(state.ready[b]));
+    chosen = state.ready[take_a ? a : b];
+    return true;
+  }
+  for (std::size_t i = 0; i < many; ++i) {
+    chosen = state.ready[(a + i) % many];
+    if (fits(chosen)) return true;
+  }
+  return false;
+}
+
+void Choice::send_to(CallId id, ApiCall& call, WorkerId to) {
+  Worker& worker = state.workers.at(to);
+  const Route& route = terms_.routes[call.route];
+  const RouteSeen& seen = state.routes[call.route];
+  stop_waiting(id, call);
+  if (call.tries.empty()) state.slices.at(call.customer).ceiling -= call.units;
+  if (ramp(worker) < 1) worker.cold_budget -= 1;
+  ++worker.out;
+  ++state.out;
+  state.send_rate *= std::exp(-seconds(now_ - state.send_at) / 2);  // over two seconds or so
+  state.send_at = now_;
+  state.send_rate += 0.5 / static_cast<double>(std::max<std::size_t>(1, state.ready.size()));
+  call.tries.push_back({to, worker.zone, worker.cell, now_, true, true});
+  // Where another try may follow, this one leaves time for it: thrice what nearly all answers need, within
+  // bounds that keep ordinary slow answers and leave a third of the target. A pressed fleet gets the whole
+  // time.
+  const double share = std::clamp(3 * seen.latency.at(0.95), 0.3, 0.65);
+  Span limit = call.due - now_;
+  if (route.repeat != Repeat::non_idempotent && strain() < 0.7 && call.tries.size() < 3) {
+    limit = std::min(limit, spanning(share * seconds(route.latency_target)));
+  }
+  effects_.send(id, to, limit);
+}
+
+double Choice::strain() const { return state.room > 0 ? static_cast<double>(state.out) / state.room : 1; }
+
+void Choice::learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took) {
+  const double share = seconds(took) / seconds(terms_.routes[call.route].latency_target);
+  RouteSeen& seen = state.routes[call.route];
+  const double before = worker.window;
+  const auto shrink = [&](double factor) {
+    // Once for each answer time, as all that is out suffers from the same line.
+    if (now_ - worker.cut_at < took) return;
+    worker.window = std::max(1.0, worker.window * factor);
+    worker.doubling = false;
+    worker.cut_at = now_;
+  };
+  if (outcome == Outcome::passed || outcome == Outcome::timed_out) {
+    const double usual = seen.work > 0 ? seen.work : seconds(took);
+    // A twentieth each: an answer's own work varies more than the worker does.
+    worker.pace += 0.05 * (std::min(seconds(took) / usual, 10.0) - worker.pace);
+    if (outcome == Outcome::passed) seen.work = usual + 0.02 * (seconds(took) - usual);
+  }
+  if (outcome == Outcome::passed) {
+    seen.latency.add(share, 400);  // halved at a few hundred: a minute's traffic, a tenth of a bin's noise
+    worker.misses = 0;
+    worker.rest = 0s;
+    // Well inside the target the window grows while it is used; near the target the line is too long.
+    if (share < 0.35 && worker.out + 1 >= worker.window / 2)
+      worker.window += worker.doubling ? 1 : 1 / worker.window;
+    if (share > 0.6) shrink(0.8);
+  } else if (outcome == Outcome::no_room) {
+    shrink(0.5);
+  } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
+    shrink(0.8);
+    // Three bad ends in a row, of any kind, or no connection twice: set aside, twice as long each time, then
+    // a trickle of one that doubles while it goes well. Holds for hung, silent, dead and failing workers
+    // alike.
+    worker.misses += outcome == Outcome::no_route ? 2 : 1;
+    if (worker.misses >= 3) {
+      if (worker.rest_until <= now_) {
+        ++state.resting;
+        worker.rest = std::clamp<Span>(2 * worker.rest, 500ms, 8s);
+        worker.rest_until = now_ + worker.rest;
+        state.agenda.emplace(worker.rest_until, std::pair(Duty::look_again, std::string("rested")));
+      }
+      worker.window = 1;
+      worker.doubling = true;
+    }
+  }
+  if (worker.phase == Phase::ready) state.room += worker.window - before;
+}
+
+// ---- The list.
+
+void Choice::list_opens(Span now, ListKind kind) {
+  now_ = now;
+  state.list_kind = kind;
+  state.list_named.clear();
+}
+
+void Choice::list_names(Span now, WorkerId id, Phase phase, std::string_view zone, std::int64_t cell,
+                        double share, Span started) {
+  now_ = now;
+  state.list_named.insert(id);
+  const auto [found, fresh] = state.workers.try_emplace(id);
+  Worker& worker = found->second;
+  if (fresh || started != worker.started) {
+    // A process that started anew keeps nothing of what was learnt about it, but what is out stays counted.
+    const int out = worker.out;
+    worker = Worker();
+    worker.out = out;
+    worker.window = 8;  // some cores' worth until its answers tell more
+    worker.started = started;
+    worker.cold_at = now;
+  }
+  worker.phase = phase;
+  worker.zone = std::string(zone);
+  worker.cell = cell;
+  worker.share = share > 0 ? share : 1;
+}
+
+void Choice::list_closes(Span now) {
+  now_ = now;
+  if (state.list_kind == ListKind::failed) {
+    // The old list stands. Asked again a second later, well inside the time after which it counts as old.
+    if (terms_.permits.list_on_request) {
+      state.agenda.emplace(now + std::min<Span>(1s, terms_.promises.ask_within / 4),
+                           std::pair(Duty::ask_for_list, std::string()));
+    }
+    return settle();
+  }
+  state.ready.clear();
+  state.room = 0;
+  state.resting = 0;
+  for (auto& [id, worker] : state.workers) {
+    // What a whole list does not name is gone.
+    if (state.list_kind != ListKind::changes && !state.list_named.contains(id)) worker.phase = Phase::gone;
+    if (worker.phase != Phase::ready) continue;
+    state.ready.push_back(id);
+    state.room += worker.window;
+    state.resting += worker.rest_until > now;
+  }
+  state.room_again = true;
+  settle();
+}
+
+// ---- API calls.
+
+void Choice::call_arrives(Span now, CallId id, std::string_view customer, std::size_t route_at,
+                          std::size_t plan_at, double units, int spread, Span left, bool repeat) {
+  now_ = now;
+  const Route& route = terms_.routes[route_at];
+  const Plan& plan = terms_.plans[plan_at];
+  RouteSeen& seen = state.routes[route_at];
+  // A repeat with less time left than a first try gets comes late in its client's own time-out, and how late
+  // can be told; what is past its latency target earns nothing any more.
+  Span spent{0};
+  if (repeat && left + 1ms < seen.longest_left) spent = std::max(Span(0), route.client_timeout - left);
+  seen.longest_left = std::max(seen.longest_left, left);
+  ApiCall& call = state.calls[id];
+  call.route = route_at;
+  call.plan = plan_at;
+  call.customer = std::string(customer);
+  call.units = units;
+  call.arrived = now;
+  const Span margin = 3 * terms_.tick;
+  call.due = now + left - margin;
+  if (route.late_share <= 0) call.due = std::min(call.due, now + route.latency_target - spent - margin);
+  state.dues.insert({call.due, id});
+
+  Slice& slice = slice_of(customer, plan_at, spread);
+  refill(slice);
+  slice.units += 0.1 * (units - slice.units);  // over ten API calls or so
+  if (!repeat) slice.demand += units / seconds(kRound);
+  seen.units = seen.units > 0 ? seen.units + 0.02 * (units - seen.units) : units;
+  // Billed value for the time it takes a worker goes first; the plan's factor is left out, so that a pressed
+  // fleet does not fail one plan alone.
+  call.rank = -route.billed_value * seen.units / std::max(seen.work, 1e-3);
+  const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
+  const bool inside = (plan.rate <= 0 || slice.stored >= units) && room_at_once;
+  const bool late = call.due <= now;
+  if (!inside || slice.demand > slice.rate) state.short_of.push_back(call.customer);
+  if (late || (!inside && !(plan.beyond_earns > plan.beyond_costs && strain() < 0.5))) {
+    call.beyond = true;  // nothing was taken
+    const double wait = late ? 0 : (units - slice.stored) / std::max(slice.rate, 1e-3);
+    give_up(id, late ? terms_.permits.longest_advice : spanning(std::min(wait, 60.0)));
+    return settle();
+  }
+  call.beyond = !inside;
+  if (call.beyond) {
+    call.rank = 0;  // behind all that is inside a quota
+  } else if (plan.rate > 0) {
+    slice.stored -= units;
+  }
+  state.to_judge.push_back(id);
+  settle();
+}
+
+void Choice::judge(CallId id) {
+  const auto found = state.calls.find(id);
+  if (found == state.calls.end()) return;
+  ApiCall& call = found->second;
+  const Leave leave = leave_for(call);
+  const bool out = std::any_of(call.tries.begin(), call.tries.end(), [](const auto& one) { return one.out; });
+  if (out) return;
+  // No further try once it cannot end in time, nor as a retry while the fleet is pressed.
+  const Span usual = spanning(state.routes[call.route].work / 2);
+  const bool ran =
+      std::any_of(call.tries.begin(), call.tries.end(), [](const auto& one) { return one.may_have_run; });
+  if (!leave.send || now_ + usual > call.due || (ran && strain() > 0.9))
+    return give_up(id, terms_.permits.longest_advice);
+  call.waiting = true;
+  state.waiting.insert({call.rank, id});
+  state.room_again = true;
+}
+
+void Choice::stop_waiting(CallId id, ApiCall& call) {
+  if (!call.waiting) return;
+  call.waiting = false;
+  state.waiting.erase({call.rank, id});
+}
+
+void Choice::send_waiting() {
+  state.room_again = false;
+  int misses = 0;
+  for (auto at = state.waiting.begin(); at != state.waiting.end() && misses < 4;) {
+    const CallId id = at->second;
+    ++at;
+    ApiCall& call = state.calls.at(id);
+    Slice& slice = slice_of(call.customer, call.plan, 1);
+    refill(slice);
+    WorkerId worker = 0;
+    const bool under =
+        !call.tries.empty() || terms_.plans[call.plan].ceiling_rate <= 0 || slice.ceiling >= call.units;
+    if (!under) {
+      give_up(id,
+              spanning((call.units - slice.ceiling) / std::max(terms_.plans[call.plan].ceiling_rate, 1e-3)));
+    } else if (now_ + spanning(state.routes[call.route].work / 2) > call.due) {
+      give_up(id, terms_.permits.longest_advice);
+    } else if (pick(call, worker)) {
+      send_to(id, call, worker);
+    } else {
+      ++misses;
+    }
+  }
+}
+
+// As many may wait as are out: they then wait about one answer's time.
+std::size_t Choice::waiting_limit() const { return 4 + static_cast<std::size_t>(state.out); }
+
+void Choice::drop_waiting() { give_up(state.waiting.rbegin()->second, terms_.permits.longest_advice); }
+
+void Choice::answer_starts(Span now, CallId id, std::size_t) {
+  now_ = now;
+  const auto found = state.calls.find(id);
+  if (found != state.calls.end()) {
+    found->second.streaming = true;
+    state.dues.erase({found->second.due, id});
+  }
+  settle();
+}
+
+void Choice::try_ends(Span now, CallId id, std::size_t at, WorkerId worker_id, Outcome outcome, Span took,
+                      bool finished, double true_units) {
+  now_ = now;
+  const auto worker = state.workers.find(worker_id);
+  if (worker != state.workers.end() && worker->second.out > 0) {
+    --worker->second.out;
+    --state.out;
+    state.room_again = true;
+  }
+  const auto found = state.calls.find(id);
+  if (found == state.calls.end()) return settle();
+  ApiCall& call = found->second;
+  if (worker != state.workers.end()) learn(worker->second, call, outcome, took);
+  if (at < call.tries.size()) {
+    call.tries[at].out = false;
+    call.tries[at].may_have_run =
+        outcome != Outcome::no_room && outcome != Outcome::no_route && outcome != Outcome::not_sent;
+  }
+  const auto slice = state.slices.find(call.customer);
+  if (outcome == Outcome::passed && terms_.units_settle && true_units > 0 && !call.beyond &&
+      slice != state.slices.end()) {
+    slice->second.stored -= true_units - call.units;
+    slice->second.demand += (true_units - call.units) / seconds(kRound);
+  }
+  if (finished) {
+    for (std::size_t i = 0; i < call.tries.size(); ++i) {
+      if (call.tries[i].out && terms_.permits.cancel) effects_.cancel(id, i);
+    }
+    forget(id);
+  } else {
+    state.to_judge.push_back(id);
+  }
+  settle();
+}
+
+void Choice::client_leaves(Span now, CallId id) {
+  now_ = now;
+  const auto found = state.calls.find(id);
+  if (found != state.calls.end()) {
+    for (std::size_t i = 0; i < found->second.tries.size(); ++i) {
+      if (found->second.tries[i].out && terms_.permits.cancel) effects_.cancel(id, i);
+    }
+    forget(id);
+  }
+  settle();
+}
+
+void Choice::wakes(Span now) {
+  now_ = now;
+  if (state.woken_for <= now) state.woken_for = Span::max();
+  settle();
+}
+
+void Choice::probe_ends(Span now, WorkerId, Outcome, Span) {
+  now_ = now;
+  settle();
+}
+
+void Choice::peer_says(Span now, int, std::string_view) {
+  now_ = now;
+  settle();
+}
+
+}  // namespace ironquay
--- /dev/null
+++ b/src/choice.hpp
@@ -0,0 +1,96 @@
+// The gatekeeper's decisions: one call for each thing that happens, Effects for each thing done about it.
+#pragma once
+#include <string_view>
+
+#include "state.hpp"
+#include "terms.hpp"
+
+namespace ironquay {
+
+class Effects {
+ public:
+  virtual ~Effects() = default;
+  virtual void send(CallId call, WorkerId worker, Span limit) = 0;
+  virtual void rate_limit(CallId call, Span come_back) = 0;
+  virtual void error(CallId call) = 0;
+  virtual void cancel(CallId call, std::size_t upstream_try) = 0;
+  virtual void wake_at(Span when) = 0;
+  virtual void probe(WorkerId worker) = 0;
+  virtual void close_idle(WorkerId worker) = 0;
+  virtual void tell(int peer, std::string_view bytes) = 0;
+  virtual void tell_all(std::string_view bytes) = 0;
+  virtual void subscribe(bool on) = 0;
+  virtual void fetch_list() = 0;
+  virtual void count(std::string_view name, double amount, Span lives) = 0;
+  virtual void note(std::string_view text) = 0;
+};
+
+// What may still be done with an API call, from its route and its upstream tries.
+struct Leave {
+  bool send = true;
+  bool rate_limit = true;
+  const UpstreamTry* bound_to = nullptr;  // a further try must reach a worker that drops this one's repeats
+  Span send_until = Span::max();
+};
+
+class Choice {
+ public:
+  Choice(Terms terms, std::uint32_t seed, Span now, Effects& effects);
+
+  void list_opens(Span now, ListKind kind);
+  void list_names(Span now, WorkerId worker, Phase phase, std::string_view zone, std::int64_t cell,
+                  double share, Span started);
+  void list_closes(Span now);
+  void call_arrives(Span now, CallId call, std::string_view customer, std::size_t route, std::size_t plan,
+                    double units, int spread, Span left, bool repeat);
+  void answer_starts(Span now, CallId call, std::size_t upstream_try);
+  void try_ends(Span now, CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
+                bool finished, double true_units);
+  void client_leaves(Span now, CallId call);
+  void wakes(Span now);
+  void probe_ends(Span now, WorkerId worker, Outcome outcome, Span took);
+  void peer_says(Span now, int peer, std::string_view bytes);
+  void count_ends(Span now, std::string_view name, Outcome outcome, double total);
+
+  // Steps of the above, open to the tests.
+  Leave leave_for(const ApiCall& call) const;
+  bool may_take(const ApiCall& call, WorkerId id) const;
+  Slice& slice_of(std::string_view customer, std::size_t plan, int spread);
+  void refill(Slice& slice);
+  void give_surplus(const std::string& customer, Slice& slice);
+  void take_from_pool(const std::string& customer, Slice& slice);
+  void read_pool(const std::string& customer, Slice& slice);
+
+  State state;
+
+ private:
+  struct Rule;
+  void settle();
+  void judge(CallId id);
+  void act_on_agenda();
+  void end_due();
+  void send_waiting();
+  void drop_waiting();
+  void stop_waiting(CallId id, ApiCall& call);
+  bool pick(const ApiCall& call, WorkerId& chosen);
+  double ramp(const Worker& worker) const;
+  void fill_cold(Worker& worker) const;
+  void send_to(CallId id, ApiCall& call, WorkerId worker);
+  void give_up(CallId id, Span come_back);
+  void forget(CallId id);
+  void learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took);
+  void count(const std::string& customer, CountCall call, std::int64_t round, double amount);
+  std::int64_t round_of(const std::string& customer, Span when) const;
+  Span round_start(const std::string& customer, std::int64_t round) const;
+  double strain() const;
+  Span advice(Span wish) const;
+  Span next_wake() const;
+  Span shift_of(const std::string& customer) const;
+  std::size_t waiting_limit() const;
+
+  Terms terms_;
+  Effects& effects_;
+  Span now_{0};
+};
+
+}  // namespace ironquay
--- /dev/null
+++ b/src/state.hpp
@@ -0,0 +1,127 @@
+// Plain data that one gatekeeper holds. What to do with it is settled in choice.cpp alone.
+#pragma once
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "histogram.hpp"
+#include "terms.hpp"
+
+namespace ironquay {
+
+enum class Outcome { passed, errored, no_room, timed_out, no_route, cut, cancelled, not_sent };
+enum class Phase { ready, draining, gone };
+enum class ListKind { changes, whole, cached, failed };
+
+struct UpstreamTry {
+  WorkerId worker = 0;
+  std::string zone;
+  std::int64_t cell = 0;
+  Span sent{0};
+  bool out = true;
+  bool may_have_run = true;
+};
+
+struct ApiCall {
+  std::size_t route = 0;
+  std::size_t plan = 0;
+  std::string customer;
+  double units = 0;
+  double rank = 0;  // which waiting API call goes first
+  Span arrived{0};
+  Span client_timeout{0};  // when its client gives up
+  Span due{0};             // when it gets its final answer at the latest
+  bool waiting = false;
+  bool streaming = false;
+  bool beyond = false;  // sent on beyond the slice
+  std::vector<UpstreamTry> tries;
+};
+
+struct Worker {
+  std::string zone;
+  std::int64_t cell = 0;
+  double share = 1;
+  Phase phase = Phase::ready;
+  Span started{0};       // 0: long ago
+  int out = 0;           // this gatekeeper's upstream tries out
+  double window = 0;     // how many it may have out
+  bool doubling = true;  // the window still doubles
+  int misses = 0;        // bad outcomes in a row
+  Span rest{0};          // how long it was last set aside
+  Span rest_until{0};
+  Span cut_at{0};   // when the window was last made smaller
+  double pace = 1;  // its times against its route's usual
+  double cold_budget = 0;
+  Span cold_at{0};
+};
+
+struct Slice {
+  std::size_t plan = 0;
+  double start = 0;  // the quota over the customer's gatekeepers
+  double rate = 0;   // the slice, units a second
+  double stored = 0;
+  double demand = 0;  // units asked for a second, of late
+  double ceiling = 0;
+  double share = 1;  // one over the customer's gatekeepers
+  double units = 0;  // of its usual API call
+  int out = 0;
+  Span filled{0};
+  Span measured{0};
+  Span seen{0};
+  std::int64_t round = -1;  // of the last gift
+  double given = 0;         // quanta in that round's pool
+  double asked = 0;         // quanta asked for and not yet answered
+  Span next_take{0};
+  Span take_pause{0};
+  int idle_gifts = 0;  // gifts in a row that came back whole
+  int skip = 0;        // rounds left without a gift
+};
+
+enum class CountFor { gift, take, reading, giving_back };
+struct CountCall {
+  CountFor what = CountFor::gift;
+  std::string customer;
+  double quanta = 0;
+};
+
+struct RouteSeen {
+  Histogram latency;
+  double units = 0;
+  double work = 0;       // usual time of an answer, seconds
+  Span longest_left{0};  // what a first try's client grants at most
+};
+
+enum class Duty { round_starts, round_ends, look_again, ask_for_list };
+
+struct State {
+  std::map<CallId, ApiCall> calls;
+  std::map<WorkerId, Worker> workers;
+  std::vector<WorkerId> ready;
+  std::unordered_map<std::string, Slice> slices;                    // only looked up, never gone through
+  std::unordered_map<std::string, std::deque<CountCall>> counting;  // by counter name, in order of the calls
+  std::vector<RouteSeen> routes;
+  std::multimap<Span, std::pair<Duty, std::string>> agenda;  // customers' rounds, list calls
+  std::set<std::pair<Span, CallId>> dues;
+  std::set<std::pair<double, CallId>> waiting;  // best first
+  std::deque<CallId> to_judge;
+  std::deque<std::string> short_of;
+  std::set<WorkerId> list_named;
+  ListKind list_kind = ListKind::cached;
+  bool room_again = false;
+  int out = 0;              // own upstream tries out
+  double room = 0;          // the ready workers' windows
+  std::size_t resting = 0;  // ready workers set aside
+  Span woken_for = Span::max();
+  Span counter_rest{0};
+  Span counter_quiet_until{0};
+  double send_rate = 0;  // own sends a second to one warm worker
+  Span send_at{0};
+  std::ranlux24_base chance;
+};
+
+}  // namespace ironquay
--- /dev/null
+++ b/src/terms.hpp
@@ -0,0 +1,71 @@
+// What the decisions read of a gatekeeper's settings, decoded once at its start.
+#pragma once
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ironquay {
+
+using Span = std::chrono::microseconds;  // since the start of the shared clock, or a length of time
+using CallId = std::uint64_t;
+using WorkerId = std::uint32_t;
+
+enum class Repeat { idempotent, tokened, non_idempotent };
+enum class Scope { all, zone, cell };
+
+struct Route {
+  Repeat repeat = Repeat::idempotent;
+  Scope scope = Scope::all;  // which workers drop a repeat of a tokened API call
+  Span recall{0};            // for how long they do
+  Span latency_target{0};
+  Span client_timeout{0};
+  double billed_value = 0;
+  double late_share = 0;
+};
+
+struct Plan {
+  double rate = 0;   // units a second for one customer, 0: no such quota
+  double burst = 0;  // units its store holds
+  int at_once = 0;   // upstream tries out at once, 0: no such quota
+  double ceiling_rate = 0;
+  double ceiling_burst = 0;
+  double value_factor = 1;
+  double beyond_earns = 0;
+  double beyond_costs = 0;
+};
+
+struct Promises {
+  double cold_share = 1;
+  Span warm_after{0};
+  Span fall{0};
+  double fall_multiple = 1;
+  Span ask_within{0};
+};
+
+struct Permits {
+  bool cancel = false;
+  bool second_copy = false;
+  bool counter = false;
+  bool advice = false;
+  bool list_on_request = false;
+  int tries = 1;
+  Span longest_advice{0};
+  Span counter_limit{0};
+};
+
+struct Terms {
+  std::vector<Route> routes;
+  std::vector<Plan> plans;
+  Promises promises;
+  Permits permits;
+  int me = 0;
+  int gatekeepers = 1;
+  std::string zone;
+  double most_units = 1;
+  double cross_zone_price = 0;
+  bool units_settle = false;
+  Span tick{0};
+};
+
+}  // namespace ironquay
--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
