--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -357,8 +357,9 @@
     if ((now_ / turn) % terms_.gatekeepers != terms_.me || worker.cold_budget < 1) return false;
   }
   const Leave leave = leave_for(call);
-  if (!leave.bound_to) return true;
+  if (!leave.bound_to) return leave.send;
   const Scope scope = terms_.routes[call.route].scope;
+  if (!leave.send) return false;
   return scope == Scope::all || (scope == Scope::zone && worker.zone == leave.bound_to->zone) ||
          (scope == Scope::cell && worker.cell == leave.bound_to->cell);
 }
@@ -611,7 +612,8 @@
     if (!under) {
       give_up(id,
               spanning((call.units - slice.ceiling) / std::max(terms_.plans[call.plan].ceiling_rate, 1e-3)));
-    } else if (now_ + spanning(state.routes[call.route].work / 2) > call.due) {
+    } else if (!leave_for(call).send || now_ + spanning(state.routes[call.route].work / 2) > call.due) {
+      // A wait can outlast what allowed the further try: the time in which its repeat is recalled.
       give_up(id, terms_.permits.longest_advice);
     } else if (pick(call, worker)) {
       send_to(id, call, worker);
