--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -448,7 +448,7 @@
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
-    shrink(0.8);
+    shrink(outcome == Outcome::timed_out ? 0.5 : 0.8);
     // Three bad ends in a row, of any kind, or no connection twice: set aside, twice as long each time, then
     // a trickle of one that doubles while it goes well. Holds for hung, silent, dead and failing workers
     // alike.
@@ -486,7 +486,8 @@
     const int out = worker.out;
     worker = Worker();
     worker.out = out;
-    worker.window = 8;  // some cores' worth until its answers tell more
+    // Some cores' worth among all gatekeepers until its answers tell more.
+    worker.window = std::max(1.0, 16.0 / terms_.gatekeepers);
     worker.started = started;
     worker.cold_at = now;
   }
