--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -308,6 +308,7 @@
   state.agenda.erase(state.agenda.begin());
   if (duty == Duty::ask_for_list) return effects_.subscribe(true);
   if (duty == Duty::look_again) {
+    state.resting -= state.resting > 0 ? 1 : 0;
     state.room_again = true;
     return;
   }
@@ -350,7 +351,10 @@
 bool Choice::may_take(const ApiCall& call, WorkerId id) const {
   const Worker& worker = state.workers.at(id);
   if (worker.phase != Phase::ready || worker.out >= worker.window) return false;
-  if (worker.rest_until > now_ && state.resting * 2 <= state.ready.size()) return false;
+  // Where most workers are set aside the load is the likelier cause: none rests longer then than a call's target,
+  // but none is spared either, as work given up may go on running there.
+  const Span most = state.resting * 2 > state.ready.size() ? terms_.routes[call.route].latency_target : Span::max();
+  if (worker.rest_until > now_ && now_ - worker.cut_at < most) return false;
   if (ramp(worker) < 1) {
     // Gatekeepers take turns at a fresh worker by their own number, one round of turns in each stated window.
     const Span turn = std::max<Span>(terms_.promises.fall / std::max(1, terms_.gatekeepers), 1us);
@@ -458,6 +462,7 @@
         ++state.resting;
         worker.rest = std::clamp<Span>(2 * worker.rest, 500ms, 8s);
         worker.rest_until = now_ + worker.rest;
+        worker.cut_at = now_;
         state.agenda.emplace(worker.rest_until, std::pair(Duty::look_again, std::string("rested")));
       }
       worker.window = 1;
