Windows under one are a share of the time, in place of rests

One guard for hung, silent, dead, failing and pressed workers: three bad ends in a row cut the window to an eighth, each good answer widens it. It could hurt where three API calls in a row fail for a reason of their own.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -307,11 +307,6 @@
   const auto [duty, customer] = state.agenda.begin()->second;
   state.agenda.erase(state.agenda.begin());
   if (duty == Duty::ask_for_list) return effects_.subscribe(true);
-  if (duty == Duty::look_again) {
-    state.resting -= state.resting > 0 ? 1 : 0;
-    state.room_again = true;
-    return;
-  }
   const auto found = state.slices.find(customer);
   if (found == state.slices.end()) return;
   if (duty == Duty::round_ends) return read_pool(customer, found->second);
@@ -350,11 +345,9 @@
 
 bool Choice::may_take(const ApiCall& call, WorkerId id) const {
   const Worker& worker = state.workers.at(id);
-  if (worker.phase != Phase::ready || worker.out >= worker.window) return false;
-  // Where most workers are set aside the load is the likelier cause: none rests longer then than a call's target,
-  // but none is spared either, as work given up may go on running there.
-  const Span most = state.resting * 2 > state.ready.size() ? terms_.routes[call.route].latency_target : Span::max();
-  if (worker.rest_until > now_ && now_ - worker.cut_at < most) return false;
+  if (worker.phase != Phase::ready || worker.out >= std::max(1.0, worker.window)) return false;
+  // A window under one is a share of the time: after each end the worker is left alone for a while.
+  if (worker.window < 1 && now_ < worker.ended + spanning((1 / worker.window - 1) * worker.usual)) return false;
   if (ramp(worker) < 1) {
     // Gatekeepers take turns at a fresh worker by their own number, one round of turns in each stated window.
     const Span turn = std::max<Span>(terms_.promises.fall / std::max(1, terms_.gatekeepers), 1us);
@@ -428,10 +421,12 @@
   const double share = seconds(took) / seconds(terms_.routes[call.route].latency_target);
   RouteSeen& seen = state.routes[call.route];
   const double before = worker.window;
+  worker.ended = now_;
   const auto shrink = [&](double factor) {
     // Once for each answer time, as all that is out suffers from the same line.
     if (now_ - worker.cut_at < took) return;
-    worker.window = std::max(1.0, worker.window * factor);
+    // A sixty-fourth: a hung worker is tried every half minute or so.
+    worker.window = std::max(1.0 / 64, worker.window * factor);
     worker.doubling = false;
     worker.cut_at = now_;
   };
@@ -439,33 +434,27 @@
     const double usual = seen.work > 0 ? seen.work : seconds(took);
     // A twentieth each: an answer's own work varies more than the worker does.
     worker.pace += 0.05 * (std::min(seconds(took) / usual, 10.0) - worker.pace);
+    worker.usual += 0.2 * (seconds(took) - worker.usual);
     if (outcome == Outcome::passed) seen.work = usual + 0.02 * (seconds(took) - usual);
   }
   if (outcome == Outcome::passed) {
     seen.latency.add(share, 400);  // halved at a few hundred: a minute's traffic, a tenth of a bin's noise
     worker.misses = 0;
-    worker.rest = 0s;
     // Well inside the target the window grows while it is used; near the target the line is too long.
-    if (share < 0.35 && worker.out + 1 >= worker.window / 2)
-      worker.window += worker.doubling ? 1 : 1 / worker.window;
+    if (share < 0.35 && worker.out + 1 >= worker.window / 2) {
+      const double step = worker.doubling ? 1 : 1 / worker.window;
+      worker.window += std::min(step, worker.window * (worker.doubling ? 1 : 0.25));
+    }
     if (share > 0.6) shrink(0.8);
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
     shrink(outcome == Outcome::timed_out ? 0.5 : 0.8);
-    // Three bad ends in a row, of any kind, or no connection twice: set aside, twice as long each time, then
-    // a trickle of one that doubles while it goes well. Holds for hung, silent, dead and failing workers
-    // alike.
+    // Three bad ends in a row, of any kind, or no connection twice: set aside, with a trickle that doubles while
+    // it goes well. Holds for hung, silent, dead and failing workers alike, and for a fleet that is pressed.
     worker.misses += outcome == Outcome::no_route ? 2 : 1;
     if (worker.misses >= 3) {
-      if (worker.rest_until <= now_) {
-        ++state.resting;
-        worker.rest = std::clamp<Span>(2 * worker.rest, 500ms, 8s);
-        worker.rest_until = now_ + worker.rest;
-        worker.cut_at = now_;
-        state.agenda.emplace(worker.rest_until, std::pair(Duty::look_again, std::string("rested")));
-      }
-      worker.window = 1;
+      worker.window = std::min(worker.window, 1.0 / 8);
       worker.doubling = true;
     }
   }
@@ -514,14 +503,12 @@
   }
   state.ready.clear();
   state.room = 0;
-  state.resting = 0;
   for (auto& [id, worker] : state.workers) {
     // What a whole list does not name is gone.
     if (state.list_kind != ListKind::changes && !state.list_named.contains(id)) worker.phase = Phase::gone;
     if (worker.phase != Phase::ready) continue;
     state.ready.push_back(id);
     state.room += worker.window;
-    state.resting += worker.rest_until > now;
   }
   state.room_again = true;
   settle();
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -52,8 +52,8 @@
   double window = 0;     // how many it may have out
   bool doubling = true;  // the window still doubles
   int misses = 0;        // bad outcomes in a row
-  Span rest{0};          // how long it was last set aside
-  Span rest_until{0};
+  double usual = 0;      // seconds that its tries took of late
+  Span ended{0};         // when the last of them ended
   Span cut_at{0};   // when the window was last made smaller
   double pace = 1;  // its times against its route's usual
   double cold_budget = 0;
@@ -96,7 +96,7 @@
   Span longest_left{0};  // what a first try's client grants at most
 };
 
-enum class Duty { round_starts, round_ends, look_again, ask_for_list };
+enum class Duty { round_starts, round_ends, ask_for_list };
 
 struct State {
   std::map<CallId, ApiCall> calls;
