Stored units move with slices

Gifts were held back by a floor on the rate that small customers never cleared; the floor is now one API call's units left in the store.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -211,6 +211,13 @@
   return Span(static_cast<std::int64_t>((sum >> 20) % static_cast<std::uint64_t>(kRound.count())));
 }
 
+// Slice and the stored units that belong to it, both in hundredths of the customer's.
+void Choice::move(Slice& slice, double quanta) {
+  const Plan& plan = terms_.plans[slice.plan];
+  slice.rate += quanta * plan.rate / kQuanta;
+  slice.stored += quanta * plan.burst / kQuanta;
+}
+
 void Choice::give_surplus(const std::string& customer, Slice& slice) {
   refill(slice);
   // Drift: every slice moves a little to its start. If all do, a right sum stays right and a wrong one heals,
@@ -222,13 +229,16 @@
     --slice.skip;
     return;
   }
-  const double quota = terms_.plans[slice.plan].rate;
-  // One API call's units a round stay, and so does the headroom of half the starting slice.
-  const double keep = std::max(slice.demand + slice.start / 2, slice.units / seconds(kRound));
-  const double quanta = std::floor((slice.rate - keep) / quota * kQuanta);
+  const Plan& plan = terms_.plans[slice.plan];
+  const double quota = plan.rate;
+  // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
+  // call's, so that the taker can use at once what the giver would have had to spare.
+  const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
+                                (slice.stored - slice.units) * quota / std::max(plan.burst, quota * 1e-3));
+  const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a tenth of the starting slice is not worth its calls.
   if (quanta < 0.1 * kQuanta * slice.share || now_ < state.counter_quiet_until) return;
-  slice.rate -= quanta * quota / kQuanta;
+  move(slice, -quanta);
   slice.round = round_of(customer, now_);
   count(customer, {CountFor::gift, customer, quanta}, slice.round, quanta * (kTally + 1));
   state.agenda.emplace(round_start(customer, slice.round) + kReadAt, std::pair(Duty::round_ends, customer));
@@ -275,17 +285,16 @@
   const auto found = state.slices.find(call.customer);
   if (found == state.slices.end()) return settle();
   Slice& slice = found->second;
-  const double quantum = terms_.plans[slice.plan].rate / kQuanta;
   const Pool pool = pool_of(total);
   refill(slice);
   if (call.what == CountFor::gift) {
     // Only what is known never to have been added comes back; a gift that may have been is gone.
     if (passed) slice.given = call.quanta;
-    if (outcome == Outcome::no_room || outcome == Outcome::no_route) slice.rate += call.quanta * quantum;
+    if (outcome == Outcome::no_room || outcome == Outcome::no_route) move(slice, call.quanta);
   } else if (call.what == CountFor::take) {
     slice.asked = 0;
     const double over = passed ? std::clamp(-pool.left, 0.0, call.quanta) : call.quanta;
-    slice.rate += (call.quanta - over) * quantum;
+    move(slice, call.quanta - over);
     if (passed && over > 0) {
       const auto round = std::stoll(std::string(name.substr(name.rfind(':') + 1)));
       count(call.customer, {CountFor::giving_back, call.customer, over}, round, over);
@@ -296,7 +305,7 @@
     slice.next_take = now + (over > 0 ? std::max<Span>(slice.take_pause, kRound / 4) : Span(0));
   } else if (call.what == CountFor::reading && passed && pool.tally > 0) {
     const double back = std::floor(std::max(0.0, pool.left) * std::min(1.0, call.quanta / pool.tally));
-    slice.rate += back * quantum;
+    move(slice, back);
     slice.idle_gifts = pool.left >= pool.tally ? std::min(slice.idle_gifts + 1, 3) : 0;
     slice.skip = (1 << slice.idle_gifts) - 1;
   }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -79,6 +79,7 @@
   void give_up(CallId id, Span come_back);
   void forget(CallId id);
   void learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took);
+  void move(Slice& slice, double quanta);
   void count(const std::string& customer, CountCall call, std::int64_t round, double amount);
   std::int64_t round_of(const std::string& customer, Span when) const;
   Span round_start(const std::string& customer, std::int64_t round) const;
