--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -249,9 +249,12 @@
   const Span into = now_ - round_start(customer, round);
   if (into < kTakesFrom || into >= kTakesUntil || now_ < slice.next_take || slice.asked > 0) return;
   if (now_ < state.counter_quiet_until || !terms_.permits.counter || slice.share >= 1) return;
-  const double quota = terms_.plans[slice.plan].rate;
-  const double need = std::min(std::max(slice.demand, slice.units / seconds(kRound)), quota) - slice.rate;
-  const double quanta = std::ceil(need / quota * kQuanta);
+  const Plan& plan = terms_.plans[slice.plan];
+  const double quota = plan.rate;
+  // Short of demand in rate, or of the next two API calls' units in store, whichever is more.
+  const double need = std::max((std::min(slice.demand, quota) - slice.rate) / quota,
+                               (2 * slice.units - slice.stored) / std::max(plan.burst, 1e-3));
+  const double quanta = std::ceil(std::min(need, 1.0) * kQuanta);
   if (quanta < 0.1 * kQuanta * slice.share) return;
   slice.asked = quanta;
   count(customer, {CountFor::take, customer, quanta}, round, -quanta);
@@ -558,7 +561,7 @@
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
   const bool inside = (plan.rate <= 0 || slice.stored >= units) && room_at_once;
   const bool late = call.due <= now;
-  if (!inside || slice.demand > slice.rate) state.short_of.push_back(call.customer);
+  if (!inside || slice.demand > slice.rate || slice.stored < 2 * units) state.short_of.push_back(call.customer);
   if (late || (!inside && !(plan.beyond_earns > plan.beyond_costs && strain() < 0.5))) {
     call.beyond = true;  // nothing was taken
     const double wait = late ? 0 : (units - slice.stored) / std::max(slice.rate, 1e-3);
