--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,6 +32,8 @@
 // nought.
 constexpr double kQuanta = 100;
 constexpr double kTally = 1000;
+// Half a starting slice at the most is given, so what it carries of the store is twice its own part: all of it.
+constexpr double kCarries = 2;
 
 struct Pool {
   double tally, left;
@@ -215,7 +217,7 @@
 void Choice::move(Slice& slice, double quanta) {
   const Plan& plan = terms_.plans[slice.plan];
   slice.rate += quanta * plan.rate / kQuanta;
-  slice.stored += quanta * plan.burst / kQuanta;
+  slice.stored += kCarries * quanta * plan.burst / kQuanta;
 }
 
 void Choice::give_surplus(const std::string& customer, Slice& slice) {
@@ -231,10 +233,10 @@
   }
   const Plan& plan = terms_.plans[slice.plan];
   const double quota = plan.rate;
-  // The headroom is an eighth of the starting slice. Stored units go with the slice that holds them, but for one API
+  // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
-  const double spare = std::min(slice.rate - slice.demand - slice.start / 8,
-                                (slice.stored - slice.units) * quota / std::max(plan.burst, quota * 1e-3));
+  const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
+                                (slice.stored - slice.units) / kCarries * quota / std::max(plan.burst, quota * 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a tenth of the starting slice is not worth its calls.
   if (quanta < 0.1 * kQuanta * slice.share || now_ < state.counter_quiet_until) return;
@@ -310,7 +312,7 @@
     const double back = std::floor(std::max(0.0, pool.left) * std::min(1.0, call.quanta / pool.tally));
     move(slice, back);
     slice.idle_gifts = pool.left >= pool.tally ? std::min(slice.idle_gifts + 1, 3) : 0;
-    slice.skip = (1 << slice.idle_gifts) - 1;
+    slice.skip = 0;
   }
   settle();
 }
