--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -18,22 +18,20 @@
   return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
 }
 
-// A round is long enough that its four counter calls stay under one for each API call, short enough for
-// shifts of demand that take several seconds. Gifts open it, takes may follow until the last tenth, readings
-// end it.
-constexpr Span kRound = 4s;
-constexpr Span kTakesFrom = kRound / 10;
-constexpr Span kTakesUntil = kRound * 8 / 10;
-constexpr Span kReadAt = kRound * 9 / 10;
+// A round is long, so that reading a pool and giving anew are rare; within it gifts and takes come as they
+// are needed.
+constexpr Span kRound = 16s;
+// Surplus is looked for this often, a few times in the spells for which demand stays where it is.
+constexpr Span kBeat = 2s;
+// Demand is measured over about two beats: shorter sees single API calls, longer yesterday's gatekeeper.
+constexpr Span kMeasure = 4s;
 // A pool's name must outlive its round with room for slow calls; the counter itself allows a minute.
-constexpr Span kPoolLives = 3 * kRound;
+constexpr Span kPoolLives = kRound + 10s;
 // Slices move in hundredths of the quota. Pool and tally ride in one number: a gift adds 1001 for each
 // quantum, a take takes off 1, so the thousands are the tally and the rest what is left, which may be below
 // nought.
 constexpr double kQuanta = 100;
 constexpr double kTally = 1000;
-// Half a starting slice at the most is given, so what it carries of the store is twice its own part: all of it.
-constexpr double kCarries = 2;
 
 struct Pool {
   double tally, left;
@@ -180,8 +178,8 @@
   // The ceiling's local store starts empty: a gatekeeper that starts anew must not fill it a second time.
   slice.filled = slice.measured = now_;
   if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
-    const Span start = round_start(found->first, round_of(found->first, now_) + 1);
-    state.agenda.emplace(start, std::pair(Duty::round_starts, found->first));
+    state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, found->first));
+    slice.round = round_of(found->first, now_);
   }
   return slice;
 }
@@ -194,7 +192,7 @@
   slice.stored = std::min(most, slice.stored + slice.rate * passed);
   slice.ceiling =
       std::min(plan.ceiling_burst * slice.share, slice.ceiling + plan.ceiling_rate * slice.share * passed);
-  slice.demand *= std::exp(-passed / seconds(kRound));
+  slice.demand *= std::exp(-passed / seconds(kMeasure));
 }
 
 std::int64_t Choice::round_of(const std::string& customer, Span when) const {
@@ -217,39 +215,42 @@
 void Choice::move(Slice& slice, double quanta) {
   const Plan& plan = terms_.plans[slice.plan];
   slice.rate += quanta * plan.rate / kQuanta;
-  slice.stored += kCarries * quanta * plan.burst / kQuanta;
+  slice.stored += quanta * plan.burst / kQuanta;
 }
 
+// The counter's time limit is the margin between phases: what may be taken has been given, what is read has
+// ended.
+Span Choice::read_margin() const { return 3 * (terms_.permits.counter_limit + terms_.tick); }
+Span Choice::takes_until() const { return kRound - 2 * read_margin(); }
+
 void Choice::give_surplus(const std::string& customer, Slice& slice) {
   refill(slice);
-  // Drift: every slice moves a little to its start. If all do, a right sum stays right and a wrong one heals,
-  // whether a pool was lost or a gatekeeper came back with a fresh slice. A tenth: much slower than the
-  // swaps.
-  slice.rate += 0.1 * (slice.start - slice.rate);
-  slice.given = 0;
-  if (slice.skip > 0) {
-    --slice.skip;
-    return;
+  const std::int64_t round = round_of(customer, now_);
+  if (round != slice.round) {
+    // Drift: each round every slice moves a little to its start. If all do, a right sum stays right and a
+    // wrong one heals, whether a pool was lost or a gatekeeper came back with a fresh slice.
+    slice.rate += 0.1 * (slice.start - slice.rate);
+    slice.given = 0;
+    slice.round = round;
   }
+  if (now_ - round_start(customer, round) >= takes_until() || now_ < state.counter_quiet_until) return;
   const Plan& plan = terms_.plans[slice.plan];
   const double quota = plan.rate;
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
   const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
-                                (slice.stored - slice.units) / kCarries * quota / std::max(plan.burst, quota * 1e-3));
+                                (slice.stored - slice.units) / quota / std::max(plan.burst, quota * 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
-  // A gift under a tenth of the starting slice is not worth its calls.
-  if (quanta < 0.1 * kQuanta * slice.share || now_ < state.counter_quiet_until) return;
+  // A gift under a fifth of the starting slice is not worth its calls.
+  if (quanta < 0.2 * kQuanta * slice.share) return;
   move(slice, -quanta);
-  slice.round = round_of(customer, now_);
-  count(customer, {CountFor::gift, customer, quanta}, slice.round, quanta * (kTally + 1));
-  state.agenda.emplace(round_start(customer, slice.round) + kReadAt, std::pair(Duty::round_ends, customer));
+  count(customer, {CountFor::gift, customer, quanta}, round, quanta * (kTally + 1));
 }
 
 void Choice::take_from_pool(const std::string& customer, Slice& slice) {
   const std::int64_t round = round_of(customer, now_);
   const Span into = now_ - round_start(customer, round);
-  if (into < kTakesFrom || into >= kTakesUntil || now_ < slice.next_take || slice.asked > 0) return;
+  if (into >= takes_until() || now_ < slice.next_take || slice.asked > 0) return;
   if (now_ < state.counter_quiet_until || !terms_.permits.counter || slice.share >= 1) return;
   const Plan& plan = terms_.plans[slice.plan];
   const double quota = plan.rate;
@@ -294,7 +295,12 @@
   refill(slice);
   if (call.what == CountFor::gift) {
     // Only what is known never to have been added comes back; a gift that may have been is gone.
-    if (passed) slice.given = call.quanta;
+    if (passed) {
+      if (slice.given <= 0)
+        state.agenda.emplace(round_start(call.customer, slice.round) + kRound - read_margin(),
+                             std::pair(Duty::round_ends, call.customer));
+      slice.given += call.quanta;
+    }
     if (outcome == Outcome::no_room || outcome == Outcome::no_route) move(slice, call.quanta);
   } else if (call.what == CountFor::take) {
     slice.asked = 0;
@@ -304,15 +310,13 @@
       const auto round = std::stoll(std::string(name.substr(name.rfind(':') + 1)));
       count(call.customer, {CountFor::giving_back, call.customer, over}, round, over);
     }
-    // An empty pool is asked again a round later, then after two, and so on; a gift found resets this.
+    // An empty pool is asked again half a second later, then after twice that, up to half a round.
     slice.take_pause =
-        over < call.quanta ? Span(0) : std::clamp<Span>(2 * slice.take_pause, kRound, 8 * kRound);
-    slice.next_take = now + (over > 0 ? std::max<Span>(slice.take_pause, kRound / 4) : Span(0));
+        over < call.quanta ? Span(0) : std::clamp<Span>(2 * slice.take_pause, 500ms, kRound / 2);
+    slice.next_take = now + (over > 0 ? std::max<Span>(slice.take_pause, 500ms) : Span(0));
   } else if (call.what == CountFor::reading && passed && pool.tally > 0) {
     const double back = std::floor(std::max(0.0, pool.left) * std::min(1.0, call.quanta / pool.tally));
     move(slice, back);
-    slice.idle_gifts = pool.left >= pool.tally ? std::min(slice.idle_gifts + 1, 3) : 0;
-    slice.skip = 0;
   }
   settle();
 }
@@ -324,14 +328,13 @@
   const auto found = state.slices.find(customer);
   if (found == state.slices.end()) return;
   if (duty == Duty::round_ends) return read_pool(customer, found->second);
-  // Unseen for eight rounds, a customer is dropped; by then its slice has drifted back to about its start.
-  if (now_ - found->second.seen > 8 * kRound) {
+  // Unseen for two rounds, a customer is dropped.
+  if (now_ - found->second.seen > 2 * kRound) {
     state.slices.erase(found);
     return;
   }
   give_surplus(customer, found->second);
-  state.agenda.emplace(round_start(customer, round_of(customer, now_) + 1),
-                       std::pair(Duty::round_starts, customer));
+  state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, customer));
 }
 
 // ---- Workers: whom to ask, how much, and for how long.
@@ -361,7 +364,8 @@
   const Worker& worker = state.workers.at(id);
   if (worker.phase != Phase::ready || worker.out >= std::max(1.0, worker.window)) return false;
   // A window under one is a share of the time: after each end the worker is left alone for a while.
-  if (worker.window < 1 && now_ < worker.ended + spanning((1 / worker.window - 1) * worker.usual)) return false;
+  if (worker.window < 1 && now_ < worker.ended + spanning((1 / worker.window - 1) * worker.usual))
+    return false;
   if (ramp(worker) < 1) {
     // Gatekeepers take turns at a fresh worker by their own number, one round of turns in each stated window.
     const Span turn = std::max<Span>(terms_.promises.fall / std::max(1, terms_.gatekeepers), 1us);
@@ -464,8 +468,9 @@
     shrink(0.5);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
     shrink(outcome == Outcome::timed_out ? 0.5 : 0.8);
-    // Three bad ends in a row, of any kind, or no connection twice: set aside, with a trickle that doubles while
-    // it goes well. Holds for hung, silent, dead and failing workers alike, and for a fleet that is pressed.
+    // Three bad ends in a row, of any kind, or no connection twice: set aside, with a trickle that doubles
+    // while it goes well. Holds for hung, silent, dead and failing workers alike, and for a fleet that is
+    // pressed.
     worker.misses += outcome == Outcome::no_route ? 2 : 1;
     if (worker.misses >= 3) {
       worker.window = std::min(worker.window, 1.0 / 8);
@@ -555,7 +560,7 @@
   Slice& slice = slice_of(customer, plan_at, spread);
   refill(slice);
   slice.units += 0.1 * (units - slice.units);  // over ten API calls or so
-  if (!repeat) slice.demand += units / seconds(kRound);
+  if (!repeat) slice.demand += units / seconds(kMeasure);
   seen.units = seen.units > 0 ? seen.units + 0.02 * (units - seen.units) : units;
   // Billed value for the time it takes a worker goes first; the plan's factor is left out, so that a pressed
   // fleet does not fail one plan alone.
@@ -563,7 +568,8 @@
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
   const bool inside = (plan.rate <= 0 || slice.stored >= units) && room_at_once;
   const bool late = call.due <= now;
-  if (!inside || slice.demand > slice.rate || slice.stored < 2 * units) state.short_of.push_back(call.customer);
+  if (!inside || slice.demand > slice.rate || slice.stored < 2 * units)
+    state.short_of.push_back(call.customer);
   if (late || (!inside && !(plan.beyond_earns > plan.beyond_costs && strain() < 0.5))) {
     call.beyond = true;  // nothing was taken
     const double wait = late ? 0 : (units - slice.stored) / std::max(slice.rate, 1e-3);
@@ -667,7 +673,7 @@
   if (outcome == Outcome::passed && terms_.units_settle && true_units > 0 && !call.beyond &&
       slice != state.slices.end()) {
     slice->second.stored -= true_units - call.units;
-    slice->second.demand += (true_units - call.units) / seconds(kRound);
+    slice->second.demand += (true_units - call.units) / seconds(kMeasure);
   }
   if (finished) {
     for (std::size_t i = 0; i < call.tries.size(); ++i) {
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -88,6 +88,8 @@
   Span next_wake() const;
   Span shift_of(const std::string& customer) const;
   std::size_t waiting_limit() const;
+  Span read_margin() const;
+  Span takes_until() const;
 
   Terms terms_;
   Effects& effects_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -54,8 +54,8 @@
   int misses = 0;        // bad outcomes in a row
   double usual = 0;      // seconds that its tries took of late
   Span ended{0};         // when the last of them ended
-  Span cut_at{0};   // when the window was last made smaller
-  double pace = 1;  // its times against its route's usual
+  Span cut_at{0};        // when the window was last made smaller
+  double pace = 1;       // its times against its route's usual
   double cold_budget = 0;
   Span cold_at{0};
 };
@@ -78,8 +78,6 @@
   double asked = 0;         // quanta asked for and not yet answered
   Span next_take{0};
   Span take_pause{0};
-  int idle_gifts = 0;  // gifts in a row that came back whole
-  int skip = 0;        // rounds left without a gift
 };
 
 enum class CountFor { gift, take, reading, giving_back };
@@ -96,7 +94,7 @@
   Span longest_left{0};  // what a first try's client grants at most
 };
 
-enum class Duty { round_starts, round_ends, ask_for_list };
+enum class Duty { beat, round_ends, ask_for_list };
 
 struct State {
   std::map<CallId, ApiCall> calls;
