--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -236,10 +236,10 @@
   if (now_ - round_start(customer, round) >= takes_until() || now_ < state.counter_quiet_until) return;
   const Plan& plan = terms_.plans[slice.plan];
   const double quota = plan.rate;
-  // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
+  // The headroom is an eighth of the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
-  const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
-                                (slice.stored - slice.units) / quota / std::max(plan.burst, quota * 1e-3));
+  const double spare = std::min(slice.rate - slice.demand - slice.start / 8,
+                                (slice.stored - slice.units) * quota / std::max(plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
   if (quanta < 0.2 * kQuanta * slice.share) return;
