--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -236,9 +236,9 @@
   if (now_ - round_start(customer, round) >= takes_until() || now_ < state.counter_quiet_until) return;
   const Plan& plan = terms_.plans[slice.plan];
   const double quota = plan.rate;
-  // The headroom is an eighth of the starting slice. Stored units go with the slice that holds them, but for one API
+  // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
-  const double spare = std::min(slice.rate - slice.demand - slice.start / 8,
+  const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
                                 (slice.stored - slice.units) * quota / std::max(plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
@@ -559,7 +559,8 @@
 
   Slice& slice = slice_of(customer, plan_at, spread);
   refill(slice);
-  slice.units += 0.1 * (units - slice.units);  // over ten API calls or so
+  // The largest of the last ten or so.
+  slice.units = std::max(units, slice.units + 0.1 * (units - slice.units));
   if (!repeat) slice.demand += units / seconds(kMeasure);
   seen.units = seen.units > 0 ? seen.units + 0.02 * (units - seen.units) : units;
   // Billed value for the time it takes a worker goes first; the plan's factor is left out, so that a pressed
