--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -174,7 +174,7 @@
   slice.plan = plan_at;
   slice.share = 1.0 / std::max(1, spread);
   slice.rate = slice.start = plan.rate * slice.share;
-  slice.stored = plan.burst * slice.share;
+  slice.stored = std::max(plan.burst * slice.share, terms_.most_units);
   // The ceiling's local store starts empty: a gatekeeper that starts anew must not fill it a second time.
   slice.filled = slice.measured = now_;
   if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
@@ -188,7 +188,7 @@
   const Plan& plan = terms_.plans[slice.plan];
   const double passed = seconds(now_ - slice.filled);
   slice.filled = now_;
-  const double most = plan.rate > 0 ? std::max(plan.burst * slice.rate / plan.rate, terms_.most_units) : 0;
+  const double most = plan.rate > 0 ? plan.burst : 0;
   slice.stored = std::min(most, slice.stored + slice.rate * passed);
   slice.ceiling =
       std::min(plan.ceiling_burst * slice.share, slice.ceiling + plan.ceiling_rate * slice.share * passed);
