--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,6 +32,8 @@
 // nought.
 constexpr double kQuanta = 100;
 constexpr double kTally = 1000;
+// At most half a starting slice is given, so what it carries of the store is twice its own part: all of it.
+constexpr double kCarries = 2;
 
 struct Pool {
   double tally, left;
@@ -188,8 +190,9 @@
   const Plan& plan = terms_.plans[slice.plan];
   const double passed = seconds(now_ - slice.filled);
   slice.filled = now_;
-  const double most = plan.rate > 0 ? plan.burst : 0;
-  slice.stored = std::min(most, slice.stored + slice.rate * passed);
+  const double most = plan.rate > 0 ? std::max(plan.burst * slice.rate / plan.rate, terms_.most_units) : 0;
+  // What came from a pool may stand above what fills by itself.
+  slice.stored = std::max(slice.stored, std::min(most, slice.stored + slice.rate * passed));
   slice.ceiling =
       std::min(plan.ceiling_burst * slice.share, slice.ceiling + plan.ceiling_rate * slice.share * passed);
   slice.demand *= std::exp(-passed / seconds(kMeasure));
@@ -215,7 +218,7 @@
 void Choice::move(Slice& slice, double quanta) {
   const Plan& plan = terms_.plans[slice.plan];
   slice.rate += quanta * plan.rate / kQuanta;
-  slice.stored += quanta * plan.burst / kQuanta;
+  slice.stored += kCarries * quanta * plan.burst / kQuanta;
 }
 
 // The counter's time limit is the margin between phases: what may be taken has been given, what is read has
@@ -239,7 +242,7 @@
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
   const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
-                                (slice.stored - slice.units) * quota / std::max(plan.burst, 1e-3));
+                                (slice.stored - slice.units) * quota / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
   if (quanta < 0.2 * kQuanta * slice.share) return;
@@ -256,7 +259,7 @@
   const double quota = plan.rate;
   // Short of demand in rate, or of the next two API calls' units in store, whichever is more.
   const double need = std::max((std::min(slice.demand, quota) - slice.rate) / quota,
-                               (2 * slice.units - slice.stored) / std::max(plan.burst, 1e-3));
+                               (2 * slice.units - slice.stored) / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::ceil(std::min(need, 1.0) * kQuanta);
   if (quanta < 0.1 * kQuanta * slice.share) return;
   slice.asked = quanta;
