--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -570,7 +570,7 @@
   // fleet does not fail one plan alone.
   call.rank = -route.billed_value * seen.units / std::max(seen.work, 1e-3);
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
-  const bool inside = (plan.rate <= 0 || slice.stored >= units) && room_at_once;
+  const bool inside = (plan.rate <= 0 || slice.stored > 0) && room_at_once;
   const bool late = call.due <= now;
   if (!inside || slice.demand > slice.rate || slice.stored < 2 * units)
     state.short_of.push_back(call.customer);
