--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -176,7 +176,7 @@
   slice.plan = plan_at;
   slice.share = 1.0 / std::max(1, spread);
   slice.rate = slice.start = plan.rate * slice.share;
-  slice.stored = std::max(plan.burst * slice.share, terms_.most_units);
+  slice.stored = plan.burst * slice.share;
   // The ceiling's local store starts empty: a gatekeeper that starts anew must not fill it a second time.
   slice.filled = slice.measured = now_;
   if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
@@ -190,7 +190,7 @@
   const Plan& plan = terms_.plans[slice.plan];
   const double passed = seconds(now_ - slice.filled);
   slice.filled = now_;
-  const double most = plan.rate > 0 ? std::max(plan.burst * slice.rate / plan.rate, terms_.most_units) : 0;
+  const double most = plan.rate > 0 ? plan.burst * slice.rate / plan.rate : 0;
   // What came from a pool may stand above what fills by itself.
   slice.stored = std::max(slice.stored, std::min(most, slice.stored + slice.rate * passed));
   slice.ceiling =
