Times are judged by an API call's units

Expected time, try limits, window growth and pace now scale with units over the route's mean. It could hurt where units say nothing of the work.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -428,9 +428,9 @@
   // Where another try may follow, this one leaves time for it: thrice what nearly all answers need, within
   // bounds that keep ordinary slow answers and leave a third of the target. A pressed fleet gets the whole
   // time.
-  const double share = std::clamp(3 * seen.latency.at(0.95), 0.3, 0.65);
+  const double share = std::max(0.3, 3 * seen.latency.at(0.95) * size_of(call));
   Span limit = call.due - now_;
-  if (route.repeat != Repeat::non_idempotent && strain() < 0.7 && call.tries.size() < 3) {
+  if (route.repeat != Repeat::non_idempotent && strain() < 0.7 && share < 0.65) {
     limit = std::min(limit, spanning(share * seconds(route.latency_target)));
   }
   effects_.send(id, to, limit);
@@ -438,8 +438,14 @@
 
 double Choice::strain() const { return state.room > 0 ? static_cast<double>(state.out) / state.room : 1; }
 
+double Choice::size_of(const ApiCall& call) const {
+  return std::clamp(call.units / std::max(state.routes[call.route].units, 1e-3), 0.5, 4.0);
+}
+
 void Choice::learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took) {
-  const double share = seconds(took) / seconds(terms_.routes[call.route].latency_target);
+  // An API call of more units is taken to be as much more work, so its long answer says nothing of the worker.
+  const double size = size_of(call);
+  const double share = seconds(took) / seconds(terms_.routes[call.route].latency_target) / size;
   RouteSeen& seen = state.routes[call.route];
   const double before = worker.window;
   worker.ended = now_;
@@ -452,11 +458,11 @@
     worker.cut_at = now_;
   };
   if (outcome == Outcome::passed || outcome == Outcome::timed_out) {
-    const double usual = seen.work > 0 ? seen.work : seconds(took);
+    const double usual = seen.work > 0 ? seen.work : seconds(took) / size;
     // A twentieth each: an answer's own work varies more than the worker does.
-    worker.pace += 0.05 * (std::min(seconds(took) / usual, 10.0) - worker.pace);
+    worker.pace += 0.05 * (std::min(seconds(took) / size / usual, 10.0) - worker.pace);
     worker.usual += 0.2 * (seconds(took) - worker.usual);
-    if (outcome == Outcome::passed) seen.work = usual + 0.02 * (seconds(took) - usual);
+    if (outcome == Outcome::passed) seen.work = usual + 0.02 * (seconds(took) / size - usual);
   }
   if (outcome == Outcome::passed) {
     seen.latency.add(share, 400);  // halved at a few hundred: a minute's traffic, a tenth of a bin's noise
@@ -598,7 +604,7 @@
   const bool out = std::any_of(call.tries.begin(), call.tries.end(), [](const auto& one) { return one.out; });
   if (out) return;
   // No further try once it cannot end in time, nor as a retry while the fleet is pressed.
-  const Span usual = spanning(state.routes[call.route].work / 2);
+  const Span usual = spanning(state.routes[call.route].work * size_of(call));
   const bool ran =
       std::any_of(call.tries.begin(), call.tries.end(), [](const auto& one) { return one.may_have_run; });
   if (!leave.send || now_ + usual > call.due || (ran && strain() > 0.9))
@@ -629,7 +635,7 @@
     if (!under) {
       give_up(id,
               spanning((call.units - slice.ceiling) / std::max(terms_.plans[call.plan].ceiling_rate, 1e-3)));
-    } else if (!leave_for(call).send || now_ + spanning(state.routes[call.route].work / 2) > call.due) {
+    } else if (!leave_for(call).send || now_ + spanning(state.routes[call.route].work * size_of(call)) > call.due) {
       // A wait can outlast what allowed the further try: the time in which its repeat is recalled.
       give_up(id, terms_.permits.longest_advice);
     } else if (pick(call, worker)) {
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -87,6 +87,7 @@
   Span advice(Span wish) const;
   Span next_wake() const;
   Span shift_of(const std::string& customer) const;
+  double size_of(const ApiCall& call) const;
   std::size_t waiting_limit() const;
   Span read_margin() const;
   Span takes_until() const;
