--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -60,6 +60,7 @@
   void give_surplus(const std::string& customer, Slice& slice);
   void take_from_pool(const std::string& customer, Slice& slice);
   void read_pool(const std::string& customer, Slice& slice);
+  void learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took);
 
   State state;
 
@@ -78,7 +79,6 @@
   void send_to(CallId id, ApiCall& call, WorkerId worker);
   void give_up(CallId id, Span come_back);
   void forget(CallId id);
-  void learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took);
   void move(Slice& slice, double quanta);
   void count(const std::string& customer, CountCall call, std::int64_t round, double amount);
   std::int64_t round_of(const std::string& customer, Span when) const;
