--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -452,8 +452,8 @@
   const auto shrink = [&](double factor) {
     // Once for each answer time, as all that is out suffers from the same line.
     if (now_ - worker.cut_at < took) return;
-    // A sixteenth: a hung worker is tried every few seconds.
-    worker.window = std::max(1.0 / 16, worker.window * factor);
+    // A sixty-fourth: a hung worker is tried every half minute or so.
+    worker.window = std::max(1.0 / 64, worker.window * factor);
     worker.doubling = false;
     worker.cut_at = now_;
   };
@@ -468,11 +468,11 @@
     seen.latency.add(share, 400);  // halved at a few hundred: a minute's traffic, a tenth of a bin's noise
     worker.misses = 0;
     // Well inside the target the window grows while it is used; near the target the line is too long.
-    if (share < 0.25 && worker.out + 1 >= worker.window / 2) {
+    if (share < 0.18 && worker.out + 1 >= worker.window / 2) {
       const double step = worker.doubling ? 1 : 1 / worker.window;
-      worker.window += std::min(step, worker.window * (worker.doubling ? 1 : 0.5));
+      worker.window += std::min(step, worker.window * (worker.doubling ? 1 : 0.25));
     }
-    if (share > 0.45) shrink(0.8);
+    if (share > 0.35) shrink(0.8);
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
