--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -467,10 +467,12 @@
   if (outcome == Outcome::passed) {
     seen.latency.add(share, 400);  // halved at a few hundred: a minute's traffic, a tenth of a bin's noise
     worker.misses = 0;
-    // Well inside the target the window grows while it is used; near the target the line is too long.
-    if (share < 0.18 && worker.out + 1 >= worker.window / 2) {
-      const double step = worker.doubling ? 1 : 1 / worker.window;
-      worker.window += std::min(step, worker.window * (worker.doubling ? 1 : 0.25));
+    // Well inside the target the window grows while it is used; near the target the line is too long. Under one it
+    // doubles with each answer that is not near: a trickle has no line of its own making.
+    if (worker.window < 1) {
+      if (share < 0.35) worker.window = std::min(1.0, 2 * worker.window);
+    } else if (share < 0.18 && worker.out + 1 >= worker.window / 2) {
+      worker.window += worker.doubling ? 1 : 1 / worker.window;
     }
     if (share > 0.35) shrink(0.8);
   } else if (outcome == Outcome::no_room) {
