--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -471,7 +471,7 @@
     // doubles with each answer that is not near: a trickle has no line of its own making.
     if (worker.window < 1) {
       if (share < 0.35) worker.window = std::min(1.0, 2 * worker.window);
-    } else if (share < 0.18 && worker.out + 1 >= worker.window / 2) {
+    } else if (share < 0.18 && worker.out + 1 >= worker.window) {
       worker.window += worker.doubling ? 1 : 1 / worker.window;
     }
     if (share > 0.35) shrink(0.8);
