--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -90,6 +90,13 @@
   }
 }
 
+// Every input starts here. A timer long overdue tells that this gatekeeper itself stood still: what was out then
+// says nothing of the workers.
+void Choice::hear(Span now) {
+  now_ = now;
+  if (state.woken_for < now - 100ms) state.back_at = now;
+}
+
 Choice::Choice(Terms terms, std::uint32_t seed, Span now, Effects& effects)
     : terms_(std::move(terms)), effects_(effects), now_(now) {
   state.chance.seed(seed);
@@ -277,7 +284,7 @@
 }
 
 void Choice::count_ends(Span now, std::string_view name, Outcome outcome, double total) {
-  now_ = now;
+  hear(now);
   const auto queue = state.counting.find(std::string(name));
   if (queue == state.counting.end() || queue->second.empty()) return;
   const CountCall call = std::move(queue->second.front());
@@ -449,6 +456,7 @@
   RouteSeen& seen = state.routes[call.route];
   const double before = worker.window;
   worker.ended = now_;
+  if (now_ - took < state.back_at) return;
   const auto shrink = [&](double factor) {
     // Once for each answer time, as all that is out suffers from the same line.
     if (now_ - worker.cut_at < took) return;
@@ -494,14 +502,14 @@
 // ---- The list.
 
 void Choice::list_opens(Span now, ListKind kind) {
-  now_ = now;
+  hear(now);
   state.list_kind = kind;
   state.list_named.clear();
 }
 
 void Choice::list_names(Span now, WorkerId id, Phase phase, std::string_view zone, std::int64_t cell,
                         double share, Span started) {
-  now_ = now;
+  hear(now);
   state.list_named.insert(id);
   const auto [found, fresh] = state.workers.try_emplace(id);
   Worker& worker = found->second;
@@ -522,7 +530,7 @@
 }
 
 void Choice::list_closes(Span now) {
-  now_ = now;
+  hear(now);
   if (state.list_kind == ListKind::failed) {
     // The old list stands. Asked again a second later, well inside the time after which it counts as old.
     if (terms_.permits.list_on_request) {
@@ -548,7 +556,7 @@
 
 void Choice::call_arrives(Span now, CallId id, std::string_view customer, std::size_t route_at,
                           std::size_t plan_at, double units, int spread, Span left, bool repeat) {
-  now_ = now;
+  hear(now);
   const Route& route = terms_.routes[route_at];
   const Plan& plan = terms_.plans[plan_at];
   RouteSeen& seen = state.routes[route_at];
@@ -654,7 +662,7 @@
 void Choice::drop_waiting() { give_up(state.waiting.rbegin()->second, terms_.permits.longest_advice); }
 
 void Choice::answer_starts(Span now, CallId id, std::size_t) {
-  now_ = now;
+  hear(now);
   const auto found = state.calls.find(id);
   if (found != state.calls.end()) {
     found->second.streaming = true;
@@ -665,7 +673,7 @@
 
 void Choice::try_ends(Span now, CallId id, std::size_t at, WorkerId worker_id, Outcome outcome, Span took,
                       bool finished, double true_units) {
-  now_ = now;
+  hear(now);
   const auto worker = state.workers.find(worker_id);
   if (worker != state.workers.end() && worker->second.out > 0) {
     --worker->second.out;
@@ -699,7 +707,7 @@
 }
 
 void Choice::client_leaves(Span now, CallId id) {
-  now_ = now;
+  hear(now);
   const auto found = state.calls.find(id);
   if (found != state.calls.end()) {
     for (std::size_t i = 0; i < found->second.tries.size(); ++i) {
@@ -711,18 +719,18 @@
 }
 
 void Choice::wakes(Span now) {
-  now_ = now;
+  hear(now);
   if (state.woken_for <= now) state.woken_for = Span::max();
   settle();
 }
 
 void Choice::probe_ends(Span now, WorkerId, Outcome, Span) {
-  now_ = now;
+  hear(now);
   settle();
 }
 
 void Choice::peer_says(Span now, int, std::string_view) {
-  now_ = now;
+  hear(now);
   settle();
 }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -66,6 +66,7 @@
 
  private:
   struct Rule;
+  void hear(Span now);
   void settle();
   void judge(CallId id);
   void act_on_agenda();
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -114,6 +114,7 @@
   int out = 0;              // own upstream tries out
   double room = 0;          // the ready workers' windows
   std::size_t resting = 0;  // ready workers set aside
+  Span back_at{0};  // when this gatekeeper last came back from standing still
   Span woken_for = Span::max();
   Span counter_rest{0};
   Span counter_quiet_until{0};
