--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -90,8 +90,8 @@
   }
 }
 
-// Every input starts here. A timer long overdue tells that this gatekeeper itself stood still: what was out then
-// says nothing of the workers.
+// Every input starts here. A timer long overdue tells that this gatekeeper itself stood still: what was out
+// then says nothing of the workers.
 void Choice::hear(Span now) {
   now_ = now;
   if (state.woken_for < now - 100ms) state.back_at = now;
@@ -450,7 +450,8 @@
 }
 
 void Choice::learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took) {
-  // An API call of more units is taken to be as much more work, so its long answer says nothing of the worker.
+  // An API call of more units is taken to be as much more work, so its long answer says nothing of the
+  // worker.
   const double size = size_of(call);
   const double share = seconds(took) / seconds(terms_.routes[call.route].latency_target) / size;
   RouteSeen& seen = state.routes[call.route];
@@ -475,8 +476,8 @@
   if (outcome == Outcome::passed) {
     seen.latency.add(share, 400);  // halved at a few hundred: a minute's traffic, a tenth of a bin's noise
     worker.misses = 0;
-    // Well inside the target the window grows while it is used; near the target the line is too long. Under one it
-    // doubles with each answer that is not near: a trickle has no line of its own making.
+    // Well inside the target the window grows while it is used; near the target the line is too long. Under
+    // one it doubles with each answer that is not near: a trickle has no line of its own making.
     if (worker.window < 1) {
       if (share < 0.35) worker.window = std::min(1.0, 2 * worker.window);
     } else if (share < 0.18 && worker.out + 1 >= worker.window) {
@@ -560,11 +561,14 @@
   const Route& route = terms_.routes[route_at];
   const Plan& plan = terms_.plans[plan_at];
   RouteSeen& seen = state.routes[route_at];
-  // A repeat with less time left than a first try gets comes late in its client's own time-out, and how late
-  // can be told; what is past its latency target earns nothing any more.
+  // A repeat that has other than a first try's time left runs to its client's own time-out, which tells how
+  // long ago the first try was; what is past its latency target earns nothing any more. Where it has the
+  // same, it is younger than that: half is assumed.
   Span spent{0};
-  if (repeat && left + 1ms < seen.longest_left) spent = std::max(Span(0), route.client_timeout - left);
-  seen.longest_left = std::max(seen.longest_left, left);
+  if (!repeat) seen.first_left = std::max(seen.first_left, left);
+  if (repeat)
+    spent = std::max(Span(0), route.client_timeout - left) /
+            (std::chrono::abs(left - seen.first_left) > 10ms ? 1 : 2);
   ApiCall& call = state.calls[id];
   call.route = route_at;
   call.plan = plan_at;
@@ -645,7 +649,8 @@
     if (!under) {
       give_up(id,
               spanning((call.units - slice.ceiling) / std::max(terms_.plans[call.plan].ceiling_rate, 1e-3)));
-    } else if (!leave_for(call).send || now_ + spanning(state.routes[call.route].work * size_of(call)) > call.due) {
+    } else if (!leave_for(call).send ||
+               now_ + spanning(state.routes[call.route].work * size_of(call)) > call.due) {
       // A wait can outlast what allowed the further try: the time in which its repeat is recalled.
       give_up(id, terms_.permits.longest_advice);
     } else if (pick(call, worker)) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -90,8 +90,8 @@
 struct RouteSeen {
   Histogram latency;
   double units = 0;
-  double work = 0;       // usual time of an answer, seconds
-  Span longest_left{0};  // what a first try's client grants at most
+  double work = 0;     // usual time of an answer, seconds
+  Span first_left{0};  // what a client grants its first try at most
 };
 
 enum class Duty { beat, round_ends, ask_for_list };
@@ -114,7 +114,7 @@
   int out = 0;              // own upstream tries out
   double room = 0;          // the ready workers' windows
   std::size_t resting = 0;  // ready workers set aside
-  Span back_at{0};  // when this gatekeeper last came back from standing still
+  Span back_at{0};          // when this gatekeeper last came back from standing still
   Span woken_for = Span::max();
   Span counter_rest{0};
   Span counter_quiet_until{0};
--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -20,11 +20,10 @@
     std::size_t route;
     bool out, may_have_run, send, rate_limit, bound;
   };
-  const Row rows[] = {
-      {0, false, true, true, true, false},  {0, true, true, false, true, false},
-      {1, false, false, true, true, false}, {1, false, true, true, false, true},
-      {1, true, true, false, false, true},  {2, false, false, true, true, false},
-      {2, false, true, false, false, false}};
+  const Row rows[] = {{0, false, true, true, true, false},  {0, true, true, false, true, false},
+                      {1, false, false, true, true, false}, {1, false, true, true, false, true},
+                      {1, true, true, false, false, true},  {2, false, false, true, true, false},
+                      {2, false, true, false, false, false}};
   for (const Row& row : rows) {
     Bench bench;
     bench.choice.wakes(200ms);
--- a/test/helpers.hpp
+++ b/test/helpers.hpp
@@ -32,8 +32,8 @@
   void note(std::string_view) override {}
 };
 
-// Three gatekeepers, one route of each kind (0 idempotent, 1 tokened within a cell, 2 non-idempotent), one plan with
-// and one without a ceiling.
+// Three gatekeepers, one route of each kind (0 idempotent, 1 tokened within a cell, 2 non-idempotent), one
+// plan with and one without a ceiling.
 inline Terms some_terms() {
   Terms terms;
   terms.routes.resize(3);
