--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -479,11 +479,11 @@
     // Well inside the target the window grows while it is used; near the target the line is too long. Under
     // one it doubles with each answer that is not near: a trickle has no line of its own making.
     if (worker.window < 1) {
-      if (share < 0.28) worker.window = std::min(1.0, 2 * worker.window);
-    } else if (share < 0.15 && worker.out + 1 >= worker.window) {
+      if (share < 0.22) worker.window = std::min(1.0, 2 * worker.window);
+    } else if (share < 0.12 && worker.out + 1 >= worker.window) {
       worker.window += worker.doubling ? 1 : 1 / worker.window;
     }
-    if (share > 0.28) shrink(0.8);
+    if (share > 0.22) shrink(0.8);
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
