--- a/src/state.hpp
+++ b/src/state.hpp
@@ -90,7 +90,9 @@
 struct RouteSeen {
   Histogram latency;
   double units = 0;
-  double work = 0;     // usual time of an answer, seconds
+  double work = 0;  // usual time of an answer, seconds
+  double calm = 0;  // the same where no lines stand
+  int answers = 0;
   Span first_left{0};  // what a client grants its first try at most
 };
 
