--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -472,25 +472,25 @@
     worker.pace += 0.05 * (std::min(seconds(took) / size / usual, 10.0) - worker.pace);
     worker.usual += 0.2 * (seconds(took) - worker.usual);
     if (outcome == Outcome::passed) {
-      // The plain mean of the first fifty, then over about as many. Calm is the least that mean has been,
-      // forgotten by a hundredth of a percent an answer, so that a minute of jam does not pass for calm.
-      seen.work = usual + std::max(0.02, 1.0 / ++seen.answers) * (seconds(took) / size - usual);
-      seen.calm = seen.answers < 50 ? seen.work : std::min(seen.calm * 1.0001, seen.work);
+      seen.work = usual + 0.02 * (seconds(took) / size - usual);
+      // The least the mean has been, forgotten so slowly that a minute of jam does not pass for calm.
+      seen.calm = seen.calm > 0 ? std::min(seen.calm * 1.0001, seen.work) : seen.work;
     }
   }
   if (outcome == Outcome::passed) {
     seen.latency.add(share, 400);  // halved at a few hundred: a minute's traffic, a tenth of a bin's noise
     worker.misses = 0;
-    // Against calm times: up to about the mean the full window grows, from more than twice it shrinks, as one
-    // in ten answers takes that long by its own work. Under one it doubles with each answer that is not too
-    // long.
-    const double hurry = seconds(took) / size / std::max(seen.calm, 1e-6);
+    // One answer in a hundred takes some five times the mean by its own work, so a mean over a fifth of the
+    // target makes late answers. Routes whose own work is a larger part of their target go by their calm
+    // times.
+    const double calm = seen.calm / seconds(terms_.routes[call.route].latency_target);
+    const double near = std::max(0.22, 1.75 * calm);
     if (worker.window < 1) {
-      if (hurry < 2.25) worker.window = std::min(1.0, 2 * worker.window);
-    } else if (hurry < 1.25 && worker.out + 1 >= worker.window) {
+      if (share < near) worker.window = std::min(1.0, 2 * worker.window);
+    } else if (share < std::max(0.12, calm) && worker.out + 1 >= worker.window) {
       worker.window += worker.doubling ? 1 : 1 / worker.window;
     }
-    if (hurry > 2.25) shrink(0.8);
+    if (share > near) shrink(0.8);
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -90,9 +90,8 @@
 struct RouteSeen {
   Histogram latency;
   double units = 0;
-  double work = 0;  // usual time of an answer, seconds
-  double calm = 0;  // the same where no lines stand
-  int answers = 0;
+  double work = 0;     // usual time of an answer, seconds
+  double calm = 0;     // the same where no lines stand
   Span first_left{0};  // what a client grants its first try at most
 };
 
