--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -18,8 +18,7 @@
   return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
 }
 
-// A round is long, so that reading a pool and giving anew are rare; within it gifts and takes come as they
-// are needed.
+// A round is long, so that reading a pool and giving anew are rare; gifts and takes come all through it.
 constexpr Span kRound = 16s;
 // Surplus is looked for this often, a few times in the spells for which demand stays where it is.
 constexpr Span kBeat = 2s;
@@ -141,12 +140,11 @@
 void Choice::give_up(CallId id, Span come_back) {
   ApiCall& call = state.calls.at(id);
   const Leave leave = leave_for(call);
-  for (std::size_t i = 0; i < call.tries.size(); ++i) {
-    if (!call.tries[i].out) continue;
+  for (const UpstreamTry& one : call.tries) {
     // No answer by now tells of the worker as a time-out would: hung, silent, slow or lost on the way.
-    learn(state.workers[call.tries[i].worker], call, Outcome::timed_out, now_ - call.tries[i].sent);
-    if (terms_.permits.cancel) effects_.cancel(id, i);
+    if (one.out) learn(state.workers[one.worker], call, Outcome::timed_out, now_ - one.sent);
   }
+  cancel_rest(id, call);
   if (leave.rate_limit) {
     effects_.rate_limit(id, advice(come_back));
   } else {
@@ -159,9 +157,19 @@
   forget(id);
 }
 
+void Choice::cancel_rest(CallId id, const ApiCall& call) {
+  for (std::size_t i = 0; i < call.tries.size(); ++i) {
+    if (call.tries[i].out && terms_.permits.cancel) effects_.cancel(id, i);
+  }
+}
+
 void Choice::forget(CallId id) {
   ApiCall& call = state.calls.at(id);
   stop_waiting(id, call);
+  const auto slice = state.slices.find(call.customer);
+  for (const UpstreamTry& one : call.tries) {
+    if (one.out && slice != state.slices.end()) --slice->second.out;
+  }
   state.dues.erase({call.due, id});
   state.calls.erase(id);
 }
@@ -185,7 +193,7 @@
   slice.rate = slice.start = plan.rate * slice.share;
   slice.stored = plan.burst * slice.share;
   // The ceiling's local store starts empty: a gatekeeper that starts anew must not fill it a second time.
-  slice.filled = slice.measured = now_;
+  slice.filled = now_;
   if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
     state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, found->first));
     slice.round = round_of(found->first, now_);
@@ -234,6 +242,8 @@
 Span Choice::takes_until() const { return kRound - 2 * read_margin(); }
 
 void Choice::give_surplus(const std::string& customer, Slice& slice) {
+  // While the counter is silent slices stay put.
+  if (now_ < state.counter_quiet_until) return;
   refill(slice);
   const std::int64_t round = round_of(customer, now_);
   if (round != slice.round) {
@@ -243,7 +253,7 @@
     slice.given = 0;
     slice.round = round;
   }
-  if (now_ - round_start(customer, round) >= takes_until() || now_ < state.counter_quiet_until) return;
+  if (now_ - round_start(customer, round) >= takes_until()) return;
   const Plan& plan = terms_.plans[slice.plan];
   const double quota = plan.rate;
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
@@ -337,13 +347,11 @@
   if (duty == Duty::ask_for_list) return effects_.subscribe(true);
   const auto found = state.slices.find(customer);
   if (found == state.slices.end()) return;
-  if (duty == Duty::round_ends) return read_pool(customer, found->second);
+  Slice& slice = found->second;
+  if (duty == Duty::round_ends) return read_pool(customer, slice);
   // Unseen for two rounds, a customer is dropped.
-  if (now_ - found->second.seen > 2 * kRound) {
-    state.slices.erase(found);
-    return;
-  }
-  give_surplus(customer, found->second);
+  if (now_ - slice.seen > 2 * kRound) return void(state.slices.erase(found));
+  give_surplus(customer, slice);
   state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, customer));
 }
 
@@ -424,7 +432,9 @@
   const Route& route = terms_.routes[call.route];
   const RouteSeen& seen = state.routes[call.route];
   stop_waiting(id, call);
-  if (call.tries.empty()) state.slices.at(call.customer).ceiling -= call.units;
+  Slice& slice = state.slices.at(call.customer);
+  if (call.tries.empty()) slice.ceiling -= call.units;
+  ++slice.out;
   if (ramp(worker) < 1) worker.cold_budget -= 1;
   ++worker.out;
   ++state.out;
@@ -581,7 +591,6 @@
   call.plan = plan_at;
   call.customer = std::string(customer);
   call.units = units;
-  call.arrived = now;
   const Span margin = 3 * terms_.tick;
   call.due = now + left - margin;
   if (route.late_share <= 0) call.due = std::min(call.due, now + route.latency_target - spent - margin);
@@ -621,14 +630,12 @@
   const auto found = state.calls.find(id);
   if (found == state.calls.end()) return;
   ApiCall& call = found->second;
-  const Leave leave = leave_for(call);
-  const bool out = std::any_of(call.tries.begin(), call.tries.end(), [](const auto& one) { return one.out; });
-  if (out) return;
-  // No further try once it cannot end in time, nor as a retry while the fleet is pressed.
-  const Span usual = spanning(state.routes[call.route].work * size_of(call));
-  const bool ran =
-      std::any_of(call.tries.begin(), call.tries.end(), [](const auto& one) { return one.may_have_run; });
-  if (!leave.send || now_ + usual > call.due || (ran && strain() > 0.9))
+  const auto any = [&](auto UpstreamTry::*what) {
+    return std::any_of(call.tries.begin(), call.tries.end(), [&](const auto& one) { return one.*what; });
+  };
+  if (any(&UpstreamTry::out)) return;
+  // No further try of what may have run while the fleet is pressed.
+  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.9))
     return give_up(id, terms_.permits.longest_advice);
   call.waiting = true;
   state.waiting.insert({call.rank, id});
@@ -696,21 +703,20 @@
   if (found == state.calls.end()) return settle();
   ApiCall& call = found->second;
   if (worker != state.workers.end()) learn(worker->second, call, outcome, took);
-  if (at < call.tries.size()) {
+  const auto slice = state.slices.find(call.customer);
+  if (at < call.tries.size() && call.tries[at].out) {
+    if (slice != state.slices.end()) --slice->second.out;
     call.tries[at].out = false;
     call.tries[at].may_have_run =
         outcome != Outcome::no_room && outcome != Outcome::no_route && outcome != Outcome::not_sent;
   }
-  const auto slice = state.slices.find(call.customer);
   if (outcome == Outcome::passed && terms_.units_settle && true_units > 0 && !call.beyond &&
       slice != state.slices.end()) {
     slice->second.stored -= true_units - call.units;
     slice->second.demand += (true_units - call.units) / seconds(kMeasure);
   }
   if (finished) {
-    for (std::size_t i = 0; i < call.tries.size(); ++i) {
-      if (call.tries[i].out && terms_.permits.cancel) effects_.cancel(id, i);
-    }
+    cancel_rest(id, call);
     forget(id);
   } else {
     state.to_judge.push_back(id);
@@ -722,9 +728,7 @@
   hear(now);
   const auto found = state.calls.find(id);
   if (found != state.calls.end()) {
-    for (std::size_t i = 0; i < found->second.tries.size(); ++i) {
-      if (found->second.tries[i].out && terms_.permits.cancel) effects_.cancel(id, i);
-    }
+    cancel_rest(id, found->second);
     forget(id);
   }
   settle();
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -79,6 +79,7 @@
   void fill_cold(Worker& worker) const;
   void send_to(CallId id, ApiCall& call, WorkerId worker);
   void give_up(CallId id, Span come_back);
+  void cancel_rest(CallId id, const ApiCall& call);
   void forget(CallId id);
   void move(Slice& slice, double quanta);
   void count(const std::string& customer, CountCall call, std::int64_t round, double amount);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -32,8 +32,7 @@
   std::size_t plan = 0;
   std::string customer;
   double units = 0;
-  double rank = 0;  // which waiting API call goes first
-  Span arrived{0};
+  double rank = 0;         // which waiting API call goes first
   Span client_timeout{0};  // when its client gives up
   Span due{0};             // when it gets its final answer at the latest
   bool waiting = false;
@@ -71,7 +70,6 @@
   double units = 0;  // of its usual API call
   int out = 0;
   Span filled{0};
-  Span measured{0};
   Span seen{0};
   std::int64_t round = -1;  // of the last gift
   double given = 0;         // quanta in that round's pool
