--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,8 +31,6 @@
 // nought.
 constexpr double kQuanta = 100;
 constexpr double kTally = 1000;
-// At most half a starting slice is given, so what it carries of the store is twice its own part: all of it.
-constexpr double kCarries = 2;
 
 struct Pool {
   double tally, left;
@@ -233,7 +231,7 @@
 void Choice::move(Slice& slice, double quanta) {
   const Plan& plan = terms_.plans[slice.plan];
   slice.rate += quanta * plan.rate / kQuanta;
-  slice.stored += kCarries * quanta * plan.burst / kQuanta;
+  slice.stored += quanta * plan.burst / kQuanta;
 }
 
 // The counter's time limit is the margin between phases: what may be taken has been given, what is read has
@@ -259,7 +257,7 @@
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
   const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
-                                (slice.stored - slice.units) * quota / std::max(kCarries * plan.burst, 1e-3));
+                                (slice.stored - slice.units) * quota / std::max(plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
   if (quanta < 0.2 * kQuanta * slice.share) return;
@@ -276,7 +274,7 @@
   const double quota = plan.rate;
   // Short of demand in rate, or of the next two API calls' units in store, whichever is more.
   const double need = std::max((std::min(slice.demand, quota) - slice.rate) / quota,
-                               (2 * slice.units - slice.stored) / std::max(kCarries * plan.burst, 1e-3));
+                               (2 * slice.units - slice.stored) / std::max(plan.burst, 1e-3));
   const double quanta = std::ceil(std::min(need, 1.0) * kQuanta);
   if (quanta < 0.1 * kQuanta * slice.share) return;
   slice.asked = quanta;
@@ -473,7 +471,6 @@
     if (now_ - worker.cut_at < took) return;
     // A sixty-fourth: a hung worker is tried every half minute or so.
     worker.window = std::max(1.0 / 64, worker.window * factor);
-    worker.doubling = false;
     worker.cut_at = now_;
   };
   if (outcome == Outcome::passed || outcome == Outcome::timed_out) {
@@ -498,7 +495,7 @@
     if (worker.window < 1) {
       if (share < near) worker.window = std::min(1.0, 2 * worker.window);
     } else if (share < std::max(0.12, calm) && worker.out + 1 >= worker.window) {
-      worker.window += worker.doubling ? 1 : 1 / worker.window;
+      worker.window += 1 / worker.window;
     }
     if (share > near) shrink(0.8);
   } else if (outcome == Outcome::no_room) {
@@ -509,10 +506,7 @@
     // while it goes well. Holds for hung, silent, dead and failing workers alike, and for a fleet that is
     // pressed.
     worker.misses += outcome == Outcome::no_route ? 2 : 1;
-    if (worker.misses >= 3) {
-      worker.window = std::min(worker.window, 1.0 / 8);
-      worker.doubling = true;
-    }
+    if (worker.misses >= 3) worker.window = std::min(worker.window, 1.0 / 8);
   }
   if (worker.phase == Phase::ready) state.room += worker.window - before;
 }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -46,15 +46,14 @@
   std::int64_t cell = 0;
   double share = 1;
   Phase phase = Phase::ready;
-  Span started{0};       // 0: long ago
-  int out = 0;           // this gatekeeper's upstream tries out
-  double window = 0;     // how many it may have out
-  bool doubling = true;  // the window still doubles
-  int misses = 0;        // bad outcomes in a row
-  double usual = 0;      // seconds that its tries took of late
-  Span ended{0};         // when the last of them ended
-  Span cut_at{0};        // when the window was last made smaller
-  double pace = 1;       // its times against its route's usual
+  Span started{0};    // 0: long ago
+  int out = 0;        // this gatekeeper's upstream tries out
+  double window = 0;  // how many it may have out
+  int misses = 0;     // bad outcomes in a row
+  double usual = 0;   // seconds that its tries took of late
+  Span ended{0};      // when the last of them ended
+  Span cut_at{0};     // when the window was last made smaller
+  double pace = 1;    // its times against its route's usual
   double cold_budget = 0;
   Span cold_at{0};
 };
