--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,11 +26,12 @@
 constexpr Span kMeasure = 4s;
 // A pool's name must outlive its round with room for slow calls; the counter itself allows a minute.
 constexpr Span kPoolLives = kRound + 10s;
-// Slices move in hundredths of the quota. Pool and tally ride in one number: a gift adds 1001 for each
-// quantum, a take takes off 1, so the thousands are the tally and the rest what is left, which may be below
-// nought.
+// Slices move in hundredths of the quota. Pool and tally ride in one number: a gift adds 1001 for each, a
+// take takes off 1: the thousands are the tally, the rest is what is left, which may be below nought.
 constexpr double kQuanta = 100;
 constexpr double kTally = 1000;
+// At most half a starting slice is given, so what it carries of the store is twice its own part: all of it.
+constexpr double kCarries = 2;
 
 struct Pool {
   double tally, left;
@@ -231,11 +232,10 @@
 void Choice::move(Slice& slice, double quanta) {
   const Plan& plan = terms_.plans[slice.plan];
   slice.rate += quanta * plan.rate / kQuanta;
-  slice.stored += quanta * plan.burst / kQuanta;
+  slice.stored += kCarries * quanta * plan.burst / kQuanta;
 }
 
-// The counter's time limit is the margin between phases: what may be taken has been given, what is read has
-// ended.
+// The counter's time limit is the margin between phases: what is read back is taken from no more.
 Span Choice::read_margin() const { return 3 * (terms_.permits.counter_limit + terms_.tick); }
 Span Choice::takes_until() const { return kRound - 2 * read_margin(); }
 
@@ -257,7 +257,7 @@
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
   const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
-                                (slice.stored - slice.units) * quota / std::max(plan.burst, 1e-3));
+                                (slice.stored - slice.units) * quota / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
   if (quanta < 0.2 * kQuanta * slice.share) return;
@@ -274,7 +274,7 @@
   const double quota = plan.rate;
   // Short of demand in rate, or of the next two API calls' units in store, whichever is more.
   const double need = std::max((std::min(slice.demand, quota) - slice.rate) / quota,
-                               (2 * slice.units - slice.stored) / std::max(plan.burst, 1e-3));
+                               (2 * slice.units - slice.stored) / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::ceil(std::min(need, 1.0) * kQuanta);
   if (quanta < 0.1 * kQuanta * slice.share) return;
   slice.asked = quanta;
@@ -299,13 +299,9 @@
   queue->second.pop_front();
   if (queue->second.empty()) state.counting.erase(queue);
   const bool passed = outcome == Outcome::passed;
-  if (passed) {
-    state.counter_rest = 0s;
-  } else {
-    // A counter that is silent, refusing or crowded is left alone, twice as long each time; slices stay put.
-    state.counter_rest = std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
-    state.counter_quiet_until = now + state.counter_rest;
-  }
+  // A counter that is silent, refusing or crowded is left alone, twice as long each time; slices stay put.
+  state.counter_rest = passed ? Span(0) : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
+  state.counter_quiet_until = now + state.counter_rest;
   const auto found = state.slices.find(call.customer);
   if (found == state.slices.end()) return settle();
   Slice& slice = found->second;
@@ -364,8 +360,7 @@
 }
 
 // A cold worker gets what a warm one gets from this gatekeeper, times the least share of its capacity that it
-// can have by now. All gatekeepers doing so stay under one times its capacity, and so under any stated
-// multiple.
+// can have by now. All of them together stay under its capacity, and so under any stated multiple.
 void Choice::fill_cold(Worker& worker) const {
   const double warm = ramp(worker);
   if (warm >= 1) return;
@@ -398,8 +393,7 @@
 bool Choice::pick(const ApiCall& call, WorkerId& chosen) {
   const std::size_t many = state.ready.size();
   if (many == 0) return false;
-  // Fewest own tries out for its size and pace; another zone counts as half a try more where crossing has a
-  // price.
+  // Fewest own tries out for its size and pace; another zone counts as half a try where crossing has a price.
   const auto load = [&](WorkerId id) {
     const Worker& worker = state.workers.at(id);
     const double far = terms_.cross_zone_price > 0 && worker.zone != terms_.zone ? 0.5 : 0;
@@ -440,9 +434,8 @@
   state.send_at = now_;
   state.send_rate += 0.5 / static_cast<double>(std::max<std::size_t>(1, state.ready.size()));
   call.tries.push_back({to, worker.zone, worker.cell, now_, true, true});
-  // Where another try may follow, this one leaves time for it: thrice what nearly all answers need, within
-  // bounds that keep ordinary slow answers and leave a third of the target. A pressed fleet gets the whole
-  // time.
+  // Where another try may follow in time, this one leaves a third of the target for it: thrice what nearly
+  // all answers need, no less than ordinary slow ones. A pressed fleet gets the whole time.
   const double share = std::max(0.3, 3 * seen.latency.at(0.95) * size_of(call));
   Span limit = call.due - now_;
   if (route.repeat != Repeat::non_idempotent && strain() < 0.7 && share < 0.65) {
@@ -458,8 +451,7 @@
 }
 
 void Choice::learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took) {
-  // An API call of more units is taken to be as much more work, so its long answer says nothing of the
-  // worker.
+  // A call of more units is taken to be as much more work, so its long answer says nothing of the worker.
   const double size = size_of(call);
   const double share = seconds(took) / seconds(terms_.routes[call.route].latency_target) / size;
   RouteSeen& seen = state.routes[call.route];
@@ -488,8 +480,7 @@
     seen.latency.add(share, 400);  // halved at a few hundred: a minute's traffic, a tenth of a bin's noise
     worker.misses = 0;
     // One answer in a hundred takes some five times the mean by its own work, so a mean over a fifth of the
-    // target makes late answers. Routes whose own work is a larger part of their target go by their calm
-    // times.
+    // target makes late answers. Routes with more work than that go by their calm times.
     const double calm = seen.calm / seconds(terms_.routes[call.route].latency_target);
     const double near = std::max(0.22, 1.75 * calm);
     if (worker.window < 1) {
@@ -502,8 +493,8 @@
     shrink(0.5);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
     shrink(outcome == Outcome::timed_out ? 0.5 : 0.8);
-    // Three bad ends in a row, of any kind, or no connection twice: set aside, with a trickle that doubles
-    // while it goes well. Holds for hung, silent, dead and failing workers alike, and for a fleet that is
+    // Three bad ends in a row of any kind, or two without a connection: set aside, with a trickle that
+    // doubles while it goes well. For hung, silent, dead and failing workers alike, and for a fleet that is
     // pressed.
     worker.misses += outcome == Outcome::no_route ? 2 : 1;
     if (worker.misses >= 3) worker.window = std::min(worker.window, 1.0 / 8);
@@ -734,14 +725,8 @@
   settle();
 }
 
-void Choice::probe_ends(Span now, WorkerId, Outcome, Span) {
-  hear(now);
-  settle();
-}
-
-void Choice::peer_says(Span now, int, std::string_view) {
-  hear(now);
-  settle();
-}
+// Probes and peers change nothing yet.
+void Choice::probe_ends(Span now, WorkerId, Outcome, Span) { hear(now); }
+void Choice::peer_says(Span now, int, std::string_view) { hear(now); }
 
 }  // namespace ironquay
