--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -257,7 +257,7 @@
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
   const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
-                                (slice.stored - slice.units) * quota / std::max(kCarries * plan.burst, 1e-3));
+                                slice.stored * quota / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
   if (quanta < 0.2 * kQuanta * slice.share) return;
