--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -204,8 +204,7 @@
   const Plan& plan = terms_.plans[slice.plan];
   const double passed = seconds(now_ - slice.filled);
   slice.filled = now_;
-  // Many gatekeepers rarely need their parts of the burst at once: a store holds its part by the root of their number.
-  const double most = plan.rate > 0 ? plan.burst * slice.rate / plan.rate / std::sqrt(slice.share) : 0;
+  const double most = plan.rate > 0 ? plan.burst * slice.rate / plan.rate : 0;
   // What came from a pool may stand above what fills by itself.
   slice.stored = std::max(slice.stored, std::min(most, slice.stored + slice.rate * passed));
   slice.ceiling =
@@ -257,8 +256,8 @@
   const double quota = plan.rate;
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
-  const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
-                                (slice.stored - slice.units) * quota / std::max(kCarries * plan.burst, 1e-3));
+  const double spare = std::min(slice.rate - slice.demand - slice.start / 8,
+                                slice.stored * quota / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
   if (quanta < 0.2 * kQuanta * slice.share) return;
