--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,7 +23,7 @@
 // Surplus is looked for this often, a few times in the spells for which demand stays where it is.
 constexpr Span kBeat = 2s;
 // Demand is measured over about two beats: shorter sees single API calls, longer yesterday's gatekeeper.
-constexpr Span kMeasure = 4s;
+constexpr Span kMeasure = 10s;
 // A pool's name must outlive its round with room for slow calls; the counter itself allows a minute.
 constexpr Span kPoolLives = kRound + 10s;
 // Slices move in hundredths of the quota. Pool and tally ride in one number: a gift adds 1001 for each, a
@@ -256,8 +256,8 @@
   const double quota = plan.rate;
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
-  const double spare = std::min(slice.rate - slice.demand - slice.start / 8,
-                                slice.stored * quota / std::max(kCarries * plan.burst, 1e-3));
+  const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
+                                (slice.stored - slice.units) * quota / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
   if (quanta < 0.2 * kQuanta * slice.share) return;
