--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,7 +23,7 @@
 // Surplus is looked for this often, a few times in the spells for which demand stays where it is.
 constexpr Span kBeat = 2s;
 // Demand is measured over about two beats: shorter sees single API calls, longer yesterday's gatekeeper.
-constexpr Span kMeasure = 10s;
+constexpr Span kMeasure = 4s;
 // A pool's name must outlive its round with room for slow calls; the counter itself allows a minute.
 constexpr Span kPoolLives = kRound + 10s;
 // Slices move in hundredths of the quota. Pool and tally ride in one number: a gift adds 1001 for each, a
@@ -492,11 +492,11 @@
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
-    shrink(outcome == Outcome::timed_out ? 0.5 : 0.8);
-    // Three bad ends in a row of any kind, or two without a connection: set aside, with a trickle that
+    shrink(0.5);
+    // Three bad ends in a row of any kind, or one without a connection: set aside, with a trickle that
     // doubles while it goes well. For hung, silent, dead and failing workers alike, and for a fleet that is
     // pressed.
-    worker.misses += outcome == Outcome::no_route ? 2 : 1;
+    worker.misses += outcome == Outcome::no_route ? 3 : 1;
     if (worker.misses >= 3) worker.window = std::min(worker.window, 1.0 / 8);
   }
   if (worker.phase == Phase::ready) state.room += worker.window - before;
