--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,7 +23,7 @@
 // Surplus is looked for this often, a few times in the spells for which demand stays where it is.
 constexpr Span kBeat = 2s;
 // Demand is measured over about two beats: shorter sees single API calls, longer yesterday's gatekeeper.
-constexpr Span kMeasure = 10s;
+constexpr Span kMeasure = 4s;
 // A pool's name must outlive its round with room for slow calls; the counter itself allows a minute.
 constexpr Span kPoolLives = kRound + 10s;
 // Slices move in hundredths of the quota. Pool and tally ride in one number: a gift adds 1001 for each, a
@@ -31,7 +31,7 @@
 constexpr double kQuanta = 100;
 constexpr double kTally = 1000;
 // At most half a starting slice is given, so what it carries of the store is twice its own part: all of it.
-constexpr double kCarries = 1;
+constexpr double kCarries = 2;
 
 struct Pool {
   double tally, left;
@@ -256,8 +256,8 @@
   const double quota = plan.rate;
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
-  const double spare = std::min(slice.rate - slice.demand - slice.start / 8,
-                                slice.stored * quota / std::max(kCarries * plan.burst, 1e-3));
+  const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
+                                (slice.stored - slice.units) * quota / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
   if (quanta < 0.2 * kQuanta * slice.share) return;
@@ -271,10 +271,12 @@
   if (into >= takes_until() || now_ < slice.next_take || slice.asked > 0) return;
   if (now_ < state.counter_quiet_until || !terms_.permits.counter || slice.share >= 1) return;
   const Plan& plan = terms_.plans[slice.plan];
+  // Starting slices that store less than one call's units have nothing to give: no call is spent on asking.
+  if (plan.burst * slice.share < slice.units) return;
   const double quota = plan.rate;
   // Short of demand in rate, or of the next two API calls' units in store, whichever is more.
   const double need = std::max((std::min(slice.demand, quota) - slice.rate) / quota,
-                               (slice.units / 2 - slice.stored) / std::max(kCarries * plan.burst, 1e-3));
+                               (2 * slice.units - slice.stored) / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::ceil(std::min(need, 1.0) * kQuanta);
   if (quanta < 0.1 * kQuanta * slice.share) return;
   slice.asked = quanta;
@@ -593,7 +595,7 @@
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
   const bool inside = (plan.rate <= 0 || slice.stored > 0) && room_at_once;
   const bool late = call.due <= now;
-  if (!inside || slice.demand > slice.rate || slice.stored < units)
+  if (!inside || slice.demand > slice.rate || slice.stored < 2 * units)
     state.short_of.push_back(call.customer);
   if (late || (!inside && !(plan.beyond_earns > plan.beyond_costs && strain() < 0.5))) {
     call.beyond = true;  // nothing was taken
