--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -204,7 +204,7 @@
   const Plan& plan = terms_.plans[slice.plan];
   const double passed = seconds(now_ - slice.filled);
   slice.filled = now_;
-  const double most = plan.rate > 0 ? plan.burst * slice.rate / plan.rate : 0;
+  const double most = plan.rate > 0 ? std::max(plan.burst * slice.rate / plan.rate, slice.units) : 0;
   // What came from a pool may stand above what fills by itself.
   slice.stored = std::max(slice.stored, std::min(most, slice.stored + slice.rate * passed));
   slice.ceiling =
