--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -254,10 +254,9 @@
   if (now_ - round_start(customer, round) >= takes_until()) return;
   const Plan& plan = terms_.plans[slice.plan];
   const double quota = plan.rate;
-  // The headroom is half the demand and an eighth of the starting slice. Stored units go with the slice that
-  // holds them, but for one API call's, so that the taker can use at once what the giver would have had to
-  // spare.
-  const double spare = std::min(slice.rate - 1.5 * slice.demand - slice.start / 8,
+  // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
+  // call's, so that the taker can use at once what the giver would have had to spare.
+  const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
                                 (slice.stored - slice.units) * quota / std::max(kCarries * plan.burst, 1e-3));
   const double quanta = std::floor(spare / quota * kQuanta);
   // A gift under a fifth of the starting slice is not worth its calls.
