--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -380,9 +380,12 @@
   if (worker.window < 1 && now_ < worker.ended + spanning((1 / worker.window - 1) * worker.usual))
     return false;
   if (ramp(worker) < 1) {
-    // Gatekeepers take turns at a fresh worker by their own number, one round of turns in each stated window.
+    // Gatekeepers take turns at a fresh worker by their own number, one round of turns in each of the first
+    // two stated windows. Later the budget alone holds: turns besides left new workers idle through a long
+    // release.
     const Span turn = std::max<Span>(terms_.promises.fall / std::max(1, terms_.gatekeepers), 1us);
-    if ((now_ / turn) % terms_.gatekeepers != terms_.me || worker.cold_budget < 1) return false;
+    const bool fresh = now_ - worker.started < 2 * terms_.promises.fall;
+    if (worker.cold_budget < 1 || (fresh && (now_ / turn) % terms_.gatekeepers != terms_.me)) return false;
   }
   const Leave leave = leave_for(call);
   if (!leave.bound_to) return leave.send;
@@ -434,7 +437,7 @@
   ++state.out;
   state.send_rate *= std::exp(-seconds(now_ - state.send_at) / 2);  // over two seconds or so
   state.send_at = now_;
-  state.send_rate += 0.5 / static_cast<double>(std::max<std::size_t>(1, state.ready.size()));
+  if (ramp(worker) >= 1) state.send_rate += 0.5 / std::max(1, state.warm);
   call.tries.push_back({to, worker.zone, worker.cell, now_, true, true});
   // Where another try may follow in time, this one leaves a third of the target for it: thrice what nearly
   // all answers need, no less than ordinary slow ones. A pressed fleet gets the whole time.
@@ -545,13 +548,14 @@
     return settle();
   }
   state.ready.clear();
-  state.room = 0;
+  state.room = state.warm = 0;
   for (auto& [id, worker] : state.workers) {
     // What a whole list does not name is gone.
     if (state.list_kind != ListKind::changes && !state.list_named.contains(id)) worker.phase = Phase::gone;
     if (worker.phase != Phase::ready) continue;
     state.ready.push_back(id);
     state.room += worker.window;
+    state.warm += ramp(worker) >= 1;
   }
   state.room_again = true;
   settle();
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -110,6 +110,7 @@
   ListKind list_kind = ListKind::cached;
   bool room_again = false;
   int out = 0;              // own upstream tries out
+  int warm = 0;             // ready workers that were warm when the list last changed
   double room = 0;          // the ready workers' windows
   std::size_t resting = 0;  // ready workers set aside
   Span back_at{0};          // when this gatekeeper last came back from standing still
