--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -362,12 +362,12 @@
 }
 
 // A cold worker gets what a warm one gets from this gatekeeper, times the least share of its capacity that it
-// can have by now and half the stated multiple: where warm workers are full, half of what would push it over.
+// can have by now. All of them together stay under its capacity, and so under any stated multiple.
 void Choice::fill_cold(Worker& worker) const {
   const double warm = ramp(worker);
   if (warm >= 1) return;
   // One in two seconds at the least, so that a gatekeeper that has just started finds out about it at all.
-  const double rate = std::max(0.5, state.send_rate * terms_.promises.fall_multiple / 2) * warm;
+  const double rate = std::max(0.5, state.send_rate) * warm;
   const double most = std::max(1.0, rate * seconds(terms_.promises.fall));
   worker.cold_budget = std::min(most, worker.cold_budget + rate * seconds(now_ - worker.cold_at));
   worker.cold_at = now_;
