--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -472,8 +472,8 @@
   };
   if (outcome == Outcome::passed || outcome == Outcome::timed_out) {
     const double usual = seen.work > 0 ? seen.work : seconds(took) / size;
-    // A seventh each: an answer's own work varies more than the worker does.
-    worker.pace += 0.15 * (std::min(seconds(took) / size / usual, 10.0) - worker.pace);
+    // A twentieth each: an answer's own work varies more than the worker does.
+    worker.pace += 0.05 * (std::min(seconds(took) / size / usual, 10.0) - worker.pace);
     worker.usual += 0.2 * (seconds(took) - worker.usual);
     if (outcome == Outcome::passed) {
       seen.work = usual + 0.02 * (seconds(took) / size - usual);
--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -243,5 +243,77 @@
   CHECK(worker.window < 4);
 }
 
+// Incident on rating-laval: gatekeepers that stood still for seconds blamed every worker afterwards.
+TEST_CASE("what was out while this gatekeeper stood still is not held against a worker") {
+  Bench bench;
+  Worker& worker = bench.worker(1);
+  ApiCall& call = bench.call(1, 0);
+  call.due = 10s;
+  bench.choice.state.dues = {{call.due, 1}};
+  bench.choice.state.woken_for = 1s;
+  bench.choice.peer_says(3s, 1, "");
+  bench.choice.learn(worker, call, Outcome::timed_out, 2900ms);
+  CHECK(worker.window == 4);
+  bench.choice.wakes(3s);
+  bench.choice.peer_says(4s, 1, "");
+  bench.choice.learn(worker, call, Outcome::timed_out, 900ms);
+  CHECK(worker.window < 4);
+}
+
+// Incident on koshi-feed: repeats in time were refused as late, since last repeats have more time than first
+// tries.
+TEST_CASE("a repeat is late only when its client's own time-out says so") {
+  Bench bench;
+  bench.worker(1);
+  const auto arrives = [&](CallId id, Span left, bool repeat) {
+    bench.choice.call_arrives(0s, id, "c", 0, 0, 1, 3, left, repeat);
+    return bench.effects.done.back();
+  };
+  CHECK(arrives(1, 2s, false) == "send 1 to 1");
+  CHECK(arrives(2, 2900ms, true) == "send 2 to 1");
+  CHECK(arrives(3, 2s, true) == "send 3 to 1");
+  CHECK(arrives(4, 1900ms, true) == "rate-limit 4");
+}
+
+TEST_CASE("no counter call asks for units where starting slices store less than one call") {
+  Bench bench;
+  Slice& slice = bench.choice.slice_of("c", 0, 30);
+  slice.demand = 1000;
+  slice.units = 3;
+  bench.choice.take_from_pool("c", slice);
+  CHECK(bench.effects.counted.empty());
+  slice.units = 1;
+  bench.choice.take_from_pool("c", slice);
+  CHECK(bench.effects.counted.size() == 1);
+}
+
+// Incident on rating-laval: through a release of the workers new ones got ever less, in one turn of nine.
+TEST_CASE("past its first windows a cold worker is open to every gatekeeper within its budget") {
+  Bench bench;
+  Worker& worker = bench.worker(1);
+  worker.started = 1us;
+  worker.cold_budget = 1;
+  ApiCall& call = bench.call(1, 0);
+  call.due = 10s;
+  bench.choice.state.dues = {{call.due, 1}};
+  bench.choice.wakes(1400ms);
+  CHECK_FALSE(bench.choice.may_take(call, 1));
+  bench.choice.wakes(2400ms);
+  CHECK(bench.choice.may_take(call, 1));
+}
+
+TEST_CASE("a plan's quota of tries at once is shared and counted until each ends") {
+  Terms terms = some_terms();
+  terms.plans[0].at_once = 3;
+  Bench bench(terms);
+  bench.worker(1);
+  bench.choice.call_arrives(0s, 1, "c", 0, 0, 1, 3, 3s, false);
+  bench.choice.call_arrives(0s, 2, "c", 0, 0, 1, 3, 3s, false);
+  CHECK(bench.effects.done.back() == "rate-limit 2");
+  bench.choice.try_ends(1ms, 1, 0, 1, Outcome::passed, 1ms, true, 0);
+  bench.choice.call_arrives(1ms, 3, "c", 0, 0, 1, 3, 3s, false);
+  CHECK(bench.effects.done.back() == "send 3 to 1");
+}
+
 }  // namespace
 }  // namespace ironquay
