--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -247,7 +247,7 @@
   if (round != slice.round) {
     // Drift: each round every slice moves a little to its start. If all do, a right sum stays right and a
     // wrong one heals, whether a pool was lost or a gatekeeper came back with a fresh slice.
-    slice.rate += 0.3 * (slice.start - slice.rate);
+    slice.rate += 0.2 * (slice.start - slice.rate);
     slice.given = 0;
     slice.round = round;
   }
