--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,6 +26,8 @@
 constexpr Span kMeasure = 4s;
 // A pool's name must outlive its round with room for slow calls; the counter itself allows a minute.
 constexpr Span kPoolLives = kRound + 10s;
+// The pool of standing parts starts anew every third round, as a name may live for a minute.
+constexpr std::int64_t kStanding = 3;
 // Slices move in hundredths of the quota. Pool and tally ride in one number: a gift adds 1001 for each, a
 // take takes off 1: the thousands are the tally, the rest is what is left, which may be below nought.
 constexpr double kQuanta = 100;
@@ -190,7 +192,11 @@
   slice.plan = plan_at;
   slice.share = 1.0 / std::max(1, spread);
   slice.rate = slice.start = plan.rate * slice.share;
-  slice.stored = plan.burst * slice.share;
+  // What a starting slice lacks of storing a largest API call can let none in by itself: that part of every
+  // slice stands in a pool of units from the start, and calls that the store doesn't cover take from it.
+  if (plan.rate > 0 && terms_.permits.counter && spread > 1)
+    slice.standing = std::max(0.0, 1 - plan.burst * slice.share / terms_.most_units);
+  slice.stored = plan.burst * slice.share * (1 - pooled(slice));
   // The ceiling's local store starts empty: a gatekeeper that starts anew must not fill it a second time.
   slice.filled = now_;
   if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
@@ -204,14 +210,61 @@
   const Plan& plan = terms_.plans[slice.plan];
   const double passed = seconds(now_ - slice.filled);
   slice.filled = now_;
-  const double most = plan.rate > 0 ? std::max(plan.burst * slice.rate / plan.rate, slice.units) : 0;
+  const double rate = slice.rate * (1 - pooled(slice));
+  const double most = plan.rate > 0 ? std::max(plan.burst * rate / plan.rate, slice.units) : 0;
   // What came from a pool may stand above what fills by itself.
-  slice.stored = std::max(slice.stored, std::min(most, slice.stored + slice.rate * passed));
+  slice.stored = std::max(slice.stored, std::min(most, slice.stored + rate * passed));
   slice.ceiling =
       std::min(plan.ceiling_burst * slice.share, slice.ceiling + plan.ceiling_rate * slice.share * passed);
   slice.demand *= std::exp(-passed / seconds(kMeasure));
 }
 
+// The share of the quota that is taken from the standing pool: less while the counter is crowded, none while
+// it is silent. What is not there fills the local slices, so that their sum stays at the quota.
+double Choice::pooled(const Slice& slice) const {
+  return now_ < state.counter_quiet_until ? 0 : slice.standing * state.asks;
+}
+
+// An API call that the store does not cover waits for the answer, for its units and two seconds' demand.
+void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
+  const double ahead = 2 * std::max(0.0, slice.demand - call.units / seconds(kMeasure));
+  const double units = call.units + ahead - slice.stored;
+  const std::int64_t first = round_of(call.customer, now_) / kStanding * kStanding;
+  // Where only some calls ask, each stands for those that do not.
+  count(call.customer + "+" + std::to_string(first), {CountFor::api_call, call.customer, units, id},
+        units / state.asks, kStanding * kRound + 10s);
+}
+
+void Choice::take_for_ends(const CountCall& call, std::string_view name, bool passed, double total) {
+  Slice& slice = state.slices.at(call.customer);
+  const auto held = state.calls.find(call.id);
+  double come_back = 0;
+  if (passed) {
+    const Plan& plan = terms_.plans[slice.plan];
+    const auto first = std::stoll(std::string(name.substr(name.rfind('+') + 1)));
+    const double into = seconds(now_ - round_start(call.customer, first));
+    const double left = slice.standing * (plan.burst + plan.rate * into) - total;
+    const double full = slice.standing * plan.burst;
+    if (left >= 0) {
+      slice.stored += call.quanta;
+      // A full pool holds the burst, what fills it further is lost. One taker in four says so, as it costs a
+      // call and more than one may see the same.
+      if (left > full && state.chance() % 4 == 0)
+        count(name, {CountFor::giving_back, call.customer}, left - full, kPoolLives);
+    } else {
+      count(name, {CountFor::giving_back, call.customer}, -call.amount, kPoolLives);
+      come_back = -left / (slice.standing * plan.rate);
+      slice.next_take = now_ + spanning(come_back);
+    }
+  }
+  if (held == state.calls.end()) return;
+  admit(call.id, passed ? slice.stored >= held->second.units : slice.stored > 0, come_back);
+}
+
+std::string Choice::pool_name(const std::string& customer, std::int64_t round) const {
+  return customer + ":" + std::to_string(round);
+}
+
 std::int64_t Choice::round_of(const std::string& customer, Span when) const {
   return (when + shift_of(customer)) / kRound;
 }
@@ -262,7 +315,7 @@
   // A gift under a fifth of the starting slice is not worth its calls.
   if (quanta < 0.2 * kQuanta * slice.share) return;
   move(slice, -quanta);
-  count(customer, {CountFor::gift, customer, quanta}, round, quanta * (kTally + 1));
+  count(pool_name(customer, round), {CountFor::gift, customer, quanta}, quanta * (kTally + 1), kPoolLives);
 }
 
 void Choice::take_from_pool(const std::string& customer, Slice& slice) {
@@ -280,17 +333,19 @@
   const double quanta = std::ceil(std::min(need, 1.0) * kQuanta);
   if (quanta < 0.1 * kQuanta * slice.share) return;
   slice.asked = quanta;
-  count(customer, {CountFor::take, customer, quanta}, round, -quanta);
+  count(pool_name(customer, round), {CountFor::take, customer, quanta}, -quanta, kPoolLives);
 }
 
 void Choice::read_pool(const std::string& customer, Slice& slice) {
-  if (slice.given > 0) count(customer, {CountFor::reading, customer, slice.given}, slice.round, 0);
+  if (slice.given > 0)
+    count(pool_name(customer, slice.round), {CountFor::reading, customer, slice.given}, 0, kPoolLives);
 }
 
-void Choice::count(const std::string& customer, CountCall call, std::int64_t round, double amount) {
-  const std::string name = customer + ":" + std::to_string(round);
-  state.counting[name].push_back(std::move(call));
-  effects_.count(name, amount, kPoolLives);
+void Choice::count(std::string_view name, CountCall call, double amount, Span lives) {
+  call.amount = amount;
+  call.asked = now_;
+  state.counting[std::string(name)].push_back(std::move(call));
+  effects_.count(name, amount, lives);
 }
 
 void Choice::count_ends(Span now, std::string_view name, Outcome outcome, double total) {
@@ -304,12 +359,22 @@
   // A counter that is silent, refusing or crowded is left alone, twice as long each time; slices stay put.
   state.counter_rest = passed ? Span(0) : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
   state.counter_quiet_until = now + state.counter_rest;
+  // Fewer calls ask while answers are slow: a line at the counter is then a quarter of the time limit long.
+  if (!passed) {
+    state.asks = std::max(1.0 / 64, state.asks * 0.7);
+  } else if (now - call.asked > terms_.permits.counter_limit / 4) {
+    state.asks = std::max(1.0 / 64, state.asks * 0.9);
+  } else {
+    state.asks = std::min(1.0, state.asks + 0.02);
+  }
   const auto found = state.slices.find(call.customer);
   if (found == state.slices.end()) return settle();
   Slice& slice = found->second;
   const Pool pool = pool_of(total);
   refill(slice);
-  if (call.what == CountFor::gift) {
+  if (call.what == CountFor::api_call) {
+    take_for_ends(call, name, passed, total);
+  } else if (call.what == CountFor::gift) {
     // Only what is known never to have been added comes back; a gift that may have been is gone.
     if (passed) {
       if (slice.given <= 0)
@@ -323,8 +388,7 @@
     const double over = passed ? std::clamp(-pool.left, 0.0, call.quanta) : call.quanta;
     move(slice, call.quanta - over);
     if (passed && over > 0) {
-      const auto round = std::stoll(std::string(name.substr(name.rfind(':') + 1)));
-      count(call.customer, {CountFor::giving_back, call.customer, over}, round, over);
+      count(name, {CountFor::giving_back, call.customer}, over, kPoolLives);
     }
     // An empty pool is asked again half a second later, then after twice that, up to half a round.
     slice.take_pause =
@@ -597,24 +661,35 @@
   // fleet does not fail one plan alone.
   call.rank = -route.billed_value * seen.units / std::max(seen.work, 1e-3);
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
-  const bool inside = (plan.rate <= 0 || slice.stored > 0) && room_at_once;
   const bool late = call.due <= now;
-  if (!inside || slice.demand > slice.rate || slice.stored < 2 * units)
+  call.beyond = true;  // nothing is taken yet
+  if (!room_at_once || slice.demand > slice.rate || slice.stored < 2 * units)
     state.short_of.push_back(call.customer);
-  if (late || (!inside && !(plan.beyond_earns > plan.beyond_costs && strain() < 0.5))) {
-    call.beyond = true;  // nothing was taken
-    const double wait = late ? 0 : (units - slice.stored) / std::max(slice.rate, 1e-3);
-    give_up(id, late ? terms_.permits.longest_advice : spanning(std::min(wait, 60.0)));
-    return settle();
+  const bool asks = slice.stored < units && state.chance() < pooled(slice) * double(state.chance.max());
+  if (late) {
+    give_up(id, terms_.permits.longest_advice);
+  } else if (room_at_once && asks && now >= slice.next_take) {
+    take_for(id, call, slice);
+  } else {
+    const double wait = (units - slice.stored) / std::max(slice.rate, 1e-3);
+    admit(id, (plan.rate <= 0 || (!asks && slice.stored > 0)) && room_at_once, std::min(wait, 60.0));
   }
+  settle();
+}
+
+// What the quota says is settled: the API call may be sent, or gets its answer at once.
+void Choice::admit(CallId id, bool inside, double come_back) {
+  ApiCall& call = state.calls.at(id);
+  const Plan& plan = terms_.plans[call.plan];
+  if (!inside && !(plan.beyond_earns > plan.beyond_costs && strain() < 0.5))
+    return give_up(id, spanning(come_back));
   call.beyond = !inside;
   if (call.beyond) {
     call.rank = 0;  // behind all that is inside a quota
   } else if (plan.rate > 0) {
-    slice.stored -= units;
+    state.slices.at(call.customer).stored -= call.units;
   }
   state.to_judge.push_back(id);
-  settle();
 }
 
 void Choice::judge(CallId id) {
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -82,7 +82,12 @@
   void cancel_rest(CallId id, const ApiCall& call);
   void forget(CallId id);
   void move(Slice& slice, double quanta);
-  void count(const std::string& customer, CountCall call, std::int64_t round, double amount);
+  void admit(CallId id, bool inside, double come_back);
+  void take_for(CallId id, const ApiCall& call, Slice& slice);
+  void take_for_ends(const CountCall& call, std::string_view name, bool passed, double total);
+  double pooled(const Slice& slice) const;
+  void count(std::string_view name, CountCall call, double amount, Span lives);
+  std::string pool_name(const std::string& customer, std::int64_t round) const;
   std::int64_t round_of(const std::string& customer, Span when) const;
   Span round_start(const std::string& customer, std::int64_t round) const;
   double strain() const;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -32,9 +32,8 @@
   std::size_t plan = 0;
   std::string customer;
   double units = 0;
-  double rank = 0;         // which waiting API call goes first
-  Span client_timeout{0};  // when its client gives up
-  Span due{0};             // when it gets its final answer at the latest
+  double rank = 0;  // which waiting API call goes first
+  Span due{0};      // when it gets its final answer at the latest
   bool waiting = false;
   bool streaming = false;
   bool beyond = false;  // sent on beyond the slice
@@ -65,8 +64,9 @@
   double stored = 0;
   double demand = 0;  // units asked for a second, of late
   double ceiling = 0;
-  double share = 1;  // one over the customer's gatekeepers
-  double units = 0;  // of its usual API call
+  double share = 1;     // one over the customer's gatekeepers
+  double standing = 0;  // the part of the quota that stands in the pool of units
+  double units = 0;     // of its usual API call
   int out = 0;
   Span filled{0};
   Span seen{0};
@@ -77,11 +77,14 @@
   Span take_pause{0};
 };
 
-enum class CountFor { gift, take, reading, giving_back };
+enum class CountFor { gift, take, reading, giving_back, api_call };
 struct CountCall {
   CountFor what = CountFor::gift;
   std::string customer;
   double quanta = 0;
+  CallId id = 0;  // of the API call that waits for the answer
+  double amount = 0;
+  Span asked{0};
 };
 
 struct RouteSeen {
@@ -115,6 +118,7 @@
   std::size_t resting = 0;  // ready workers set aside
   Span back_at{0};          // when this gatekeeper last came back from standing still
   Span woken_for = Span::max();
+  double asks = 1;  // how many of the API calls for which the counter could be asked do so
   Span counter_rest{0};
   Span counter_quiet_until{0};
   double send_rate = 0;  // own sends a second to one warm worker
