--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -195,7 +195,7 @@
   // What a starting slice lacks of storing a largest API call can let none in by itself: that part of every
   // slice stands in a pool of units from the start, and calls that the store doesn't cover take from it.
   if (plan.rate > 0 && terms_.permits.counter && spread > 1)
-    slice.standing = std::max(0.0, 1 - plan.burst * slice.share / terms_.most_units);
+    slice.standing = 1 / (1 + plan.burst * slice.share / (8 * terms_.most_units));
   slice.stored = plan.burst * slice.share * (1 - pooled(slice));
   // The ceiling's local store starts empty: a gatekeeper that starts anew must not fill it a second time.
   slice.filled = now_;
@@ -225,9 +225,9 @@
   return now_ < state.counter_quiet_until ? 0 : slice.standing * state.asks;
 }
 
-// An API call that the store does not cover waits for the answer, for its units and two seconds' demand.
+// An API call that the store does not cover waits for the answer, for its units and a second's demand.
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
-  const double ahead = 2 * std::max(0.0, slice.demand - call.units / seconds(kMeasure));
+  const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
   const double units = call.units + ahead - slice.stored;
   const std::int64_t first = round_of(call.customer, now_) / kStanding * kStanding;
   // Where only some calls ask, each stands for those that do not.
@@ -245,16 +245,19 @@
     const double into = seconds(now_ - round_start(call.customer, first));
     const double left = slice.standing * (plan.burst + plan.rate * into) - total;
     const double full = slice.standing * plan.burst;
-    if (left >= 0) {
-      slice.stored += call.quanta;
-      // A full pool holds the burst, what fills it further is lost. One taker in four says so, as it costs a
-      // call and more than one may see the same.
-      if (left > full && state.chance() % 4 == 0)
-        count(name, {CountFor::giving_back, call.customer}, left - full, kPoolLives);
-    } else {
-      count(name, {CountFor::giving_back, call.customer}, -call.amount, kPoolLives);
+    // Where the pool does not hold it all, what the API call itself needs.
+    const double least = held == state.calls.end() ? 0 : held->second.units - slice.stored;
+    const double scale = call.amount / call.quanta;
+    const double had = left >= 0 ? call.quanta : left + call.amount >= least * scale ? least : 0;
+    slice.stored += had;
+    if (had < call.quanta) {
+      count(name, {CountFor::giving_back, call.customer}, (had - call.quanta) * scale, kPoolLives);
       come_back = -left / (slice.standing * plan.rate);
       slice.next_take = now_ + spanning(come_back);
+    } else if (left > full && (total <= call.amount || state.chance() % 4 == 0)) {
+      // A full pool holds the burst, what fills it further is lost. Its first taker says so, later one in
+      // four, as it costs a call and more than one may see the same.
+      count(name, {CountFor::giving_back, call.customer}, left - full, kPoolLives);
     }
   }
   if (held == state.calls.end()) return;
@@ -325,7 +328,7 @@
   if (now_ < state.counter_quiet_until || !terms_.permits.counter || slice.share >= 1) return;
   const Plan& plan = terms_.plans[slice.plan];
   // Starting slices that store less than one call's units have nothing to give: no call is spent on asking.
-  if (plan.burst * slice.share < slice.units) return;
+  if (plan.burst * slice.share * (1 - slice.standing) < slice.units) return;
   const double quota = plan.rate;
   // Short of demand in rate, or of the next two API calls' units in store, whichever is more.
   const double need = std::max((std::min(slice.demand, quota) - slice.rate) / quota,
@@ -359,10 +362,10 @@
   // A counter that is silent, refusing or crowded is left alone, twice as long each time; slices stay put.
   state.counter_rest = passed ? Span(0) : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
   state.counter_quiet_until = now + state.counter_rest;
-  // Fewer calls ask while answers are slow: a line at the counter is then a quarter of the time limit long.
+  // Fewer calls ask while answers are slow: a line at the counter is then half of the time limit long.
   if (!passed) {
     state.asks = std::max(1.0 / 64, state.asks * 0.7);
-  } else if (now - call.asked > terms_.permits.counter_limit / 4) {
+  } else if (now - call.asked > terms_.permits.counter_limit / 2) {
     state.asks = std::max(1.0 / 64, state.asks * 0.9);
   } else {
     state.asks = std::min(1.0, state.asks + 0.02);
@@ -665,7 +668,8 @@
   call.beyond = true;  // nothing is taken yet
   if (!room_at_once || slice.demand > slice.rate || slice.stored < 2 * units)
     state.short_of.push_back(call.customer);
-  const bool asks = slice.stored < units && state.chance() < pooled(slice) * double(state.chance.max());
+  const bool asks = slice.stored < units && slice.standing > 0 && now >= state.counter_quiet_until &&
+                    state.chance() <= state.asks * double(state.chance.max());
   if (late) {
     give_up(id, terms_.permits.longest_advice);
   } else if (room_at_once && asks && now >= slice.next_take) {
