--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -219,10 +219,10 @@
   slice.demand *= std::exp(-passed / seconds(kMeasure));
 }
 
-// The share of the quota that is taken from the standing pool: less while the counter is crowded, none while
-// it is silent. What is not there fills the local slices, so that their sum stays at the quota.
+// The share of the quota that is taken from the standing pool: none while the counter is silent. What is not
+// there fills the local slices, so that their sum stays at the quota.
 double Choice::pooled(const Slice& slice) const {
-  return now_ < state.counter_quiet_until ? 0 : slice.standing * state.asks;
+  return now_ < state.counter_quiet_until ? 0 : slice.standing;
 }
 
 // An API call that the store does not cover waits for the answer, for its units and a second's demand.
@@ -230,7 +230,7 @@
   const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
   const double units = call.units + ahead - slice.stored;
   const std::int64_t first = round_of(call.customer, now_) / kStanding * kStanding;
-  // Where only some calls ask, each stands for those that do not.
+  // Where only some calls ask, each takes for those that do not, which are let in until one finds no units.
   count(call.customer + "+" + std::to_string(first), {CountFor::api_call, call.customer, units, id},
         units / state.asks, kStanding * kRound + 10s);
 }
@@ -248,12 +248,16 @@
     // Where the pool does not hold it all, what the API call itself needs.
     const double least = held == state.calls.end() ? 0 : held->second.units - slice.stored;
     const double scale = call.amount / call.quanta;
-    const double had = left >= 0 ? call.quanta : left + call.amount >= least * scale ? least : 0;
+    const double found_there = left + call.amount;
+    const double had = found_there >= call.quanta ? call.quanta : found_there >= least ? least : 0;
     slice.stored += had;
-    if (had < call.quanta) {
-      count(name, {CountFor::giving_back, call.customer}, (had - call.quanta) * scale, kPoolLives);
+    slice.dry_until = had > 0 ? Span(0) : now_ + kRound / 2;
+    if (had <= 0) {
       come_back = -left / (slice.standing * plan.rate);
       slice.next_take = now_ + spanning(come_back);
+    }
+    if (had < call.quanta) {
+      count(name, {CountFor::giving_back, call.customer}, (had - call.quanta) * scale, kPoolLives);
     } else if (left > full && (total <= call.amount || state.chance() % 4 == 0)) {
       // A full pool holds the burst, what fills it further is lost. Its first taker says so, later one in
       // four, as it costs a call and more than one may see the same.
@@ -668,15 +672,19 @@
   call.beyond = true;  // nothing is taken yet
   if (!room_at_once || slice.demand > slice.rate || slice.stored < 2 * units)
     state.short_of.push_back(call.customer);
-  const bool asks = slice.stored < units && slice.standing > 0 && now >= state.counter_quiet_until &&
-                    state.chance() <= state.asks * double(state.chance.max());
+  const bool pool = pooled(slice) > 0 && slice.stored < units;
+  const bool asks = pool && !repeat && state.chance() <= state.asks * double(state.chance.max());
+  bool inside = room_at_once && (plan.rate <= 0 || slice.stored > 0);
+  if (pool && !asks) {
+    inside = room_at_once && !repeat && now >= slice.dry_until;
+    if (inside) slice.stored += units;  // one that asked has taken them
+  }
   if (late) {
     give_up(id, terms_.permits.longest_advice);
   } else if (room_at_once && asks && now >= slice.next_take) {
     take_for(id, call, slice);
   } else {
-    const double wait = (units - slice.stored) / std::max(slice.rate, 1e-3);
-    admit(id, (plan.rate <= 0 || (!asks && slice.stored > 0)) && room_at_once, std::min(wait, 60.0));
+    admit(id, inside && !asks, std::min((units - slice.stored) / std::max(slice.rate, 1e-3), 60.0));
   }
   settle();
 }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -74,6 +74,7 @@
   double given = 0;         // quanta in that round's pool
   double asked = 0;         // quanta asked for and not yet answered
   Span next_take{0};
+  Span dry_until{0};  // the pool of units was found empty
   Span take_pause{0};
 };
 
