--- a/src/adapter/decode_terms.cpp
+++ b/src/adapter/decode_terms.cpp
@@ -103,6 +103,7 @@
   const Json& family = part(from, "family_info");
   terms.permits.counter = need<bool>(family, "counter");
   if (terms.permits.counter) terms.permits.counter_limit = span(family, "count_limit");
+  if (need<bool>(bounds, "may_tell")) terms.permits.peer_intake = need<double>(family, "peer_intake");
   terms.most_units = need<double>(family, "max_units");
   terms.units_settle = need<bool>(family, "settles");
   terms.cross_zone_price = need<double>(part(from, "tariffs"), "cross_zone");
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -297,13 +297,13 @@
       const int spread = fields.number<int>("spread");
       const int bits = fields.number_or<int>("opts", 0);
       const double units = fields.number<double>("weight");
-      fields.number<double>("set_start");
+      const int first = fields.number<int>("set_start");
       const Text customer = fields.next("customer");
       const Span left = fields.span("remaining");
       const auto route = named(instance.born.routes, fields.next("qos"), fields, "qos");
       const auto plan = named(instance.born.plans, fields.next("tariff"), fields, "tariff");
       fields.end();
-      choice.call_arrives(now_, id, customer, route, plan, units, spread, left, (bits & 2) != 0);
+      choice.call_arrives(now_, id, customer, route, plan, units, first, spread, left, (bits & 2) != 0);
     } else if (name == "DONE") {
       const auto id = fields.number<CallId>("ticket");
       const auto copy = fields.number<std::size_t>("copy");
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -13,6 +13,13 @@
 
 using namespace std::chrono_literals;
 
+// FNV-1a: the same at every gatekeeper.
+std::uint64_t sum_of(std::string_view text) {
+  std::uint64_t sum = 14695981039346656037u;
+  for (const unsigned char c : text) sum = (sum ^ c) * 1099511628211u;
+  return sum;
+}
+
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
 Span spanning(double seconds) {
   return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
@@ -232,7 +239,7 @@
   const std::int64_t first = round_of(call.customer, now_) / kStanding * kStanding;
   // Where only some calls ask, each takes for those that do not, which are let in until one finds no units.
   count(call.customer + "+" + std::to_string(first), {CountFor::api_call, call.customer, units, id},
-        units / state.asks, kStanding * kRound + 10s);
+        is_dry(call.customer) ? units : units / state.asks, kStanding * kRound + 10s);
 }
 
 void Choice::take_for_ends(const CountCall& call, std::string_view name, bool passed, double total) {
@@ -251,7 +258,12 @@
     const double found_there = left + call.amount;
     const double had = found_there >= call.quanta ? call.quanta : found_there >= least ? least : 0;
     slice.stored += had;
-    slice.dry_until = had > 0 ? Span(0) : now_ + kRound / 2;
+    if (had > 0) {
+      state.dry.erase(key_of(call.customer));
+    } else {
+      if (!is_dry(call.customer)) tell_dry(call.customer, slice);
+      note_dry(key_of(call.customer));
+    }
     if (had <= 0) {
       come_back = -left / (slice.standing * plan.rate);
       slice.next_take = now_ + spanning(come_back);
@@ -268,6 +280,39 @@
   admit(call.id, passed ? slice.stored >= held->second.units : slice.stored > 0, come_back);
 }
 
+// A pool found empty is told to the customer's other gatekeepers, for half a round: those that cannot ask
+// then know. Each gatekeeper tells as seldom as makes half of what all of them can take in.
+std::uint32_t Choice::key_of(const std::string& customer) const {
+  return static_cast<std::uint32_t>(sum_of(customer));
+}
+
+bool Choice::is_dry(const std::string& customer) const {
+  const auto found = state.dry.find(key_of(customer));
+  return found != state.dry.end() && now_ < found->second;
+}
+
+void Choice::note_dry(std::uint32_t key) {
+  state.dry[key] = now_ + kRound / 2;
+  state.dry_ends.emplace_back(now_ + kRound / 2, key);
+  for (; state.dry_ends.front().first <= now_; state.dry_ends.pop_front()) {
+    const auto found = state.dry.find(state.dry_ends.front().second);
+    if (found != state.dry.end() && found->second <= now_) state.dry.erase(found);
+  }
+}
+
+void Choice::tell_dry(const std::string& customer, const Slice& slice) {
+  if (terms_.permits.peer_intake <= 0 || now_ < state.next_tell) return;
+  const int spread = static_cast<int>(std::lround(1 / slice.share));
+  state.next_tell = now_ + spanning(2 * spread / terms_.permits.peer_intake);
+  const std::uint32_t key = key_of(customer);
+  std::string bytes;
+  for (int at = 0; at < 4; ++at) bytes.push_back(static_cast<char>(key >> (8 * at)));
+  for (int i = 0; i < spread; ++i) {
+    const int peer = (slice.first + i) % terms_.gatekeepers;
+    if (peer != terms_.me) effects_.tell(peer, bytes);
+  }
+}
+
 std::string Choice::pool_name(const std::string& customer, std::int64_t round) const {
   return customer + ":" + std::to_string(round);
 }
@@ -281,11 +326,10 @@
 }
 
 // Rounds of different customers start at different times, the same at all gatekeepers, so that the counter's
-// calls come evenly. The sum is FNV-1a.
+// calls come evenly.
 Span Choice::shift_of(const std::string& customer) const {
-  std::uint64_t sum = 14695981039346656037u;
-  for (const unsigned char c : customer) sum = (sum ^ c) * 1099511628211u;
-  return Span(static_cast<std::int64_t>((sum >> 20) % static_cast<std::uint64_t>(kRound.count())));
+  return Span(
+      static_cast<std::int64_t>((sum_of(customer) >> 20) % static_cast<std::uint64_t>(kRound.count())));
 }
 
 // Slice and the stored units that belong to it, both in hundredths of the customer's.
@@ -635,7 +679,7 @@
 // ---- API calls.
 
 void Choice::call_arrives(Span now, CallId id, std::string_view customer, std::size_t route_at,
-                          std::size_t plan_at, double units, int spread, Span left, bool repeat) {
+                          std::size_t plan_at, double units, int first, int spread, Span left, bool repeat) {
   hear(now);
   const Route& route = terms_.routes[route_at];
   const Plan& plan = terms_.plans[plan_at];
@@ -659,6 +703,7 @@
   state.dues.insert({call.due, id});
 
   Slice& slice = slice_of(customer, plan_at, spread);
+  slice.first = first;
   refill(slice);
   // The largest of the last ten or so.
   slice.units = std::max(units, slice.units + 0.1 * (units - slice.units));
@@ -676,7 +721,7 @@
   const bool asks = pool && !repeat && state.chance() <= state.asks * double(state.chance.max());
   bool inside = room_at_once && (plan.rate <= 0 || slice.stored > 0);
   if (pool && !asks) {
-    inside = room_at_once && !repeat && now >= slice.dry_until;
+    inside = room_at_once && !repeat && !is_dry(call.customer);
     if (inside) slice.stored += units;  // one that asked has taken them
   }
   if (late) {
@@ -818,8 +863,15 @@
   settle();
 }
 
-// Probes and peers change nothing yet.
+// Probes change nothing yet.
 void Choice::probe_ends(Span now, WorkerId, Outcome, Span) { hear(now); }
-void Choice::peer_says(Span now, int, std::string_view) { hear(now); }
+
+void Choice::peer_says(Span now, int, std::string_view bytes) {
+  hear(now);
+  if (bytes.size() != 4) return;
+  std::uint32_t key = 0;
+  for (int at = 0; at < 4; ++at) key |= std::uint32_t{static_cast<unsigned char>(bytes[at])} << (8 * at);
+  note_dry(key);
+}
 
 }  // namespace ironquay
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -42,7 +42,7 @@
                   double share, Span started);
   void list_closes(Span now);
   void call_arrives(Span now, CallId call, std::string_view customer, std::size_t route, std::size_t plan,
-                    double units, int spread, Span left, bool repeat);
+                    double units, int first, int spread, Span left, bool repeat);
   void answer_starts(Span now, CallId call, std::size_t upstream_try);
   void try_ends(Span now, CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
                 bool finished, double true_units);
@@ -86,6 +86,10 @@
   void take_for(CallId id, const ApiCall& call, Slice& slice);
   void take_for_ends(const CountCall& call, std::string_view name, bool passed, double total);
   double pooled(const Slice& slice) const;
+  std::uint32_t key_of(const std::string& customer) const;
+  bool is_dry(const std::string& customer) const;
+  void note_dry(std::uint32_t key);
+  void tell_dry(const std::string& customer, const Slice& slice);
   void count(std::string_view name, CountCall call, double amount, Span lives);
   std::string pool_name(const std::string& customer, std::int64_t round) const;
   std::int64_t round_of(const std::string& customer, Span when) const;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -64,6 +64,7 @@
   double stored = 0;
   double demand = 0;  // units asked for a second, of late
   double ceiling = 0;
+  int first = 0;        // number of the first of the customer's gatekeepers
   double share = 1;     // one over the customer's gatekeepers
   double standing = 0;  // the part of the quota that stands in the pool of units
   double units = 0;     // of its usual API call
@@ -74,7 +75,6 @@
   double given = 0;         // quanta in that round's pool
   double asked = 0;         // quanta asked for and not yet answered
   Span next_take{0};
-  Span dry_until{0};  // the pool of units was found empty
   Span take_pause{0};
 };
 
@@ -120,6 +120,9 @@
   Span back_at{0};          // when this gatekeeper last came back from standing still
   Span woken_for = Span::max();
   double asks = 1;  // how many of the API calls for which the counter could be asked do so
+  std::unordered_map<std::uint32_t, Span> dry;          // customers whose pool is empty, until when
+  std::deque<std::pair<Span, std::uint32_t>> dry_ends;  // the same by time
+  Span next_tell{0};
   Span counter_rest{0};
   Span counter_quiet_until{0};
   double send_rate = 0;  // own sends a second to one warm worker
--- a/src/terms.hpp
+++ b/src/terms.hpp
@@ -52,6 +52,7 @@
   int tries = 1;
   Span longest_advice{0};
   Span counter_limit{0};
+  double peer_intake = 0;  // messages a second that a gatekeeper takes in, 0: none may be sent
 };
 
 struct Terms {
--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -126,8 +126,8 @@
   Bench bench;
   bench.worker(1);
   bench.choice.slice_of("c", 0, 3).stored = 0.5;
-  bench.choice.call_arrives(0s, 1, "c", 0, 0, 4, 3, 3s, false);
-  bench.choice.call_arrives(0s, 2, "c", 0, 0, 1, 3, 3s, false);
+  bench.choice.call_arrives(0s, 1, "c", 0, 0, 4, 0, 3, 3s, false);
+  bench.choice.call_arrives(0s, 2, "c", 0, 0, 1, 0, 3, 3s, false);
   CHECK(bench.effects.done == std::vector<std::string>{"send 1 to 1", "rate-limit 2"});
   CHECK(bench.choice.slice_of("c", 0, 3).stored == Approx(-3.5));
 }
@@ -147,9 +147,9 @@
 TEST_CASE("a gatekeeper that starts anew finds its ceiling store empty") {
   Bench bench;
   bench.worker(1);
-  bench.choice.call_arrives(0s, 1, "c", 0, 1, 1, 3, 3s, false);
+  bench.choice.call_arrives(0s, 1, "c", 0, 1, 1, 0, 3, 3s, false);
   CHECK(bench.effects.done == std::vector<std::string>{"rate-limit 1"});
-  bench.choice.call_arrives(100ms, 2, "c", 0, 1, 1, 3, 3s, false);
+  bench.choice.call_arrives(100ms, 2, "c", 0, 1, 1, 0, 3, 3s, false);
   CHECK(bench.effects.done.back() == "send 2 to 1");
   CHECK(bench.choice.slice_of("c", 1, 3).ceiling == Approx(1));
 }
@@ -266,7 +266,7 @@
   Bench bench;
   bench.worker(1);
   const auto arrives = [&](CallId id, Span left, bool repeat) {
-    bench.choice.call_arrives(0s, id, "c", 0, 0, 1, 3, left, repeat);
+    bench.choice.call_arrives(0s, id, "c", 0, 0, 1, 0, 3, left, repeat);
     return bench.effects.done.back();
   };
   CHECK(arrives(1, 2s, false) == "send 1 to 1");
@@ -307,11 +307,11 @@
   terms.plans[0].at_once = 3;
   Bench bench(terms);
   bench.worker(1);
-  bench.choice.call_arrives(0s, 1, "c", 0, 0, 1, 3, 3s, false);
-  bench.choice.call_arrives(0s, 2, "c", 0, 0, 1, 3, 3s, false);
+  bench.choice.call_arrives(0s, 1, "c", 0, 0, 1, 0, 3, 3s, false);
+  bench.choice.call_arrives(0s, 2, "c", 0, 0, 1, 0, 3, 3s, false);
   CHECK(bench.effects.done.back() == "rate-limit 2");
   bench.choice.try_ends(1ms, 1, 0, 1, Outcome::passed, 1ms, true, 0);
-  bench.choice.call_arrives(1ms, 3, "c", 0, 0, 1, 3, 3s, false);
+  bench.choice.call_arrives(1ms, 3, "c", 0, 0, 1, 0, 3, 3s, false);
   CHECK(bench.effects.done.back() == "send 3 to 1");
 }
 
