--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -232,6 +232,11 @@
   return now_ < state.counter_quiet_until ? 0 : slice.standing;
 }
 
+// While the counter is crowded the calls of many units ask sooner: more is at stake in each.
+double Choice::part_asking(const ApiCall& call) const {
+  return std::min(1.0, state.asks * call.units / std::max(state.units, 1e-3));
+}
+
 // An API call that the store does not cover waits for the answer, for its units and a second's demand.
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
   const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
@@ -239,7 +244,7 @@
   const std::int64_t first = round_of(call.customer, now_) / kStanding * kStanding;
   // Where only some calls ask, each takes for those that do not, which are let in until one finds no units.
   count(call.customer + "+" + std::to_string(first), {CountFor::api_call, call.customer, units, id},
-        is_dry(call.customer) ? units : units / state.asks, kStanding * kRound + 10s);
+        is_dry(call.customer) ? units : units / part_asking(call), kStanding * kRound + 10s);
 }
 
 void Choice::take_for_ends(const CountCall& call, std::string_view name, bool passed, double total) {
@@ -261,8 +266,7 @@
     if (had > 0) {
       state.dry.erase(key_of(call.customer));
     } else {
-      if (!is_dry(call.customer)) tell_dry(call.customer, slice);
-      note_dry(key_of(call.customer));
+      found_dry(call.customer, slice);
     }
     if (had <= 0) {
       come_back = -left / (slice.standing * plan.rate);
@@ -280,32 +284,31 @@
   admit(call.id, passed ? slice.stored >= held->second.units : slice.stored > 0, come_back);
 }
 
-// A pool found empty is told to the customer's other gatekeepers, for half a round: those that cannot ask
-// then know. Each gatekeeper tells as seldom as makes half of what all of them can take in.
+// A pool found empty is told to the customer's other gatekeepers: those that cannot ask then know. It counts
+// as empty for the time in which the burst fills, twice as long each time it is found so soon again.
 std::uint32_t Choice::key_of(const std::string& customer) const {
   return static_cast<std::uint32_t>(sum_of(customer));
 }
 
 bool Choice::is_dry(const std::string& customer) const {
   const auto found = state.dry.find(key_of(customer));
-  return found != state.dry.end() && now_ < found->second;
-}
-
-void Choice::note_dry(std::uint32_t key) {
-  state.dry[key] = now_ + kRound / 2;
-  state.dry_ends.emplace_back(now_ + kRound / 2, key);
-  for (; state.dry_ends.front().first <= now_; state.dry_ends.pop_front()) {
-    const auto found = state.dry.find(state.dry_ends.front().second);
-    if (found != state.dry.end() && found->second <= now_) state.dry.erase(found);
-  }
+  return found != state.dry.end() && now_ < found->second.until;
 }
 
-void Choice::tell_dry(const std::string& customer, const Slice& slice) {
+void Choice::found_dry(const std::string& customer, const Slice& slice) {
+  if (is_dry(customer)) return;
+  const Plan& plan = terms_.plans[slice.plan];
+  const std::uint32_t key = key_of(customer);
+  const auto known = state.dry.find(key);
+  int tenths = static_cast<int>(10 * plan.burst / plan.rate);
+  if (known != state.dry.end()) tenths = 2 * known->second.tenths;
+  tenths = std::clamp(tenths, 5, 160);
+  note_dry(key, tenths);
+  // Each gatekeeper tells as seldom as makes half of what all of them can take in.
   if (terms_.permits.peer_intake <= 0 || now_ < state.next_tell) return;
   const int spread = static_cast<int>(std::lround(1 / slice.share));
   state.next_tell = now_ + spanning(2 * spread / terms_.permits.peer_intake);
-  const std::uint32_t key = key_of(customer);
-  std::string bytes;
+  std::string bytes(1, static_cast<char>(tenths));
   for (int at = 0; at < 4; ++at) bytes.push_back(static_cast<char>(key >> (8 * at)));
   for (int i = 0; i < spread; ++i) {
     const int peer = (slice.first + i) % terms_.gatekeepers;
@@ -313,6 +316,18 @@
   }
 }
 
+void Choice::note_dry(std::uint32_t key, int tenths) {
+  const Span until = now_ + tenths * 100ms;
+  state.dry[key] = {until, tenths};
+  // Remembered for as long again.
+  state.dry_ends.emplace(until + tenths * 100ms, key);
+  for (auto at = state.dry_ends.begin(); at->first <= now_; at = state.dry_ends.erase(at)) {
+    const auto found = state.dry.find(at->second);
+    if (found != state.dry.end() && found->second.until + found->second.tenths * 100ms <= now_)
+      state.dry.erase(found);
+  }
+}
+
 std::string Choice::pool_name(const std::string& customer, std::int64_t round) const {
   return customer + ":" + std::to_string(round);
 }
@@ -708,6 +723,7 @@
   // The largest of the last ten or so.
   slice.units = std::max(units, slice.units + 0.1 * (units - slice.units));
   if (!repeat) slice.demand += units / seconds(kMeasure);
+  state.units = state.units > 0 ? state.units + 0.02 * (units - state.units) : units;
   seen.units = seen.units > 0 ? seen.units + 0.02 * (units - seen.units) : units;
   // Billed value for the time it takes a worker goes first; the plan's factor is left out, so that a pressed
   // fleet does not fail one plan alone.
@@ -718,7 +734,7 @@
   if (!room_at_once || slice.demand > slice.rate || slice.stored < 2 * units)
     state.short_of.push_back(call.customer);
   const bool pool = pooled(slice) > 0 && slice.stored < units;
-  const bool asks = pool && !repeat && state.chance() <= state.asks * double(state.chance.max());
+  const bool asks = pool && !repeat && state.chance() <= part_asking(call) * double(state.chance.max());
   bool inside = room_at_once && (plan.rate <= 0 || slice.stored > 0);
   if (pool && !asks) {
     inside = room_at_once && !repeat && !is_dry(call.customer);
@@ -868,10 +884,10 @@
 
 void Choice::peer_says(Span now, int, std::string_view bytes) {
   hear(now);
-  if (bytes.size() != 4) return;
+  if (bytes.size() != 5) return;
   std::uint32_t key = 0;
-  for (int at = 0; at < 4; ++at) key |= std::uint32_t{static_cast<unsigned char>(bytes[at])} << (8 * at);
-  note_dry(key);
+  for (int at = 0; at < 4; ++at) key |= std::uint32_t{static_cast<unsigned char>(bytes[at + 1])} << (8 * at);
+  note_dry(key, static_cast<unsigned char>(bytes[0]));
 }
 
 }  // namespace ironquay
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -85,11 +85,12 @@
   void admit(CallId id, bool inside, double come_back);
   void take_for(CallId id, const ApiCall& call, Slice& slice);
   void take_for_ends(const CountCall& call, std::string_view name, bool passed, double total);
+  double part_asking(const ApiCall& call) const;
   double pooled(const Slice& slice) const;
   std::uint32_t key_of(const std::string& customer) const;
   bool is_dry(const std::string& customer) const;
-  void note_dry(std::uint32_t key);
-  void tell_dry(const std::string& customer, const Slice& slice);
+  void found_dry(const std::string& customer, const Slice& slice);
+  void note_dry(std::uint32_t key, int tenths);
   void count(std::string_view name, CountCall call, double amount, Span lives);
   std::string pool_name(const std::string& customer, std::int64_t round) const;
   std::int64_t round_of(const std::string& customer, Span when) const;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -78,6 +78,12 @@
   Span take_pause{0};
 };
 
+// A customer whose pool of units was found empty.
+struct Dry {
+  Span until{0};
+  int tenths = 0;  // of a second, for which it counts as empty
+};
+
 enum class CountFor { gift, take, reading, giving_back, api_call };
 struct CountCall {
   CountFor what = CountFor::gift;
@@ -119,9 +125,10 @@
   std::size_t resting = 0;  // ready workers set aside
   Span back_at{0};          // when this gatekeeper last came back from standing still
   Span woken_for = Span::max();
-  double asks = 1;  // how many of the API calls for which the counter could be asked do so
-  std::unordered_map<std::uint32_t, Span> dry;          // customers whose pool is empty, until when
-  std::deque<std::pair<Span, std::uint32_t>> dry_ends;  // the same by time
+  double units = 0;  // of an API call of late
+  double asks = 1;   // how many of the API calls for which the counter could be asked do so
+  std::unordered_map<std::uint32_t, Dry> dry;         // customers whose pool is empty, until when
+  std::set<std::pair<Span, std::uint32_t>> dry_ends;  // the same by time
   Span next_tell{0};
   Span counter_rest{0};
   Span counter_quiet_until{0};
