--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -270,7 +270,7 @@
     }
     if (had <= 0) {
       come_back = -left / (slice.standing * plan.rate);
-      slice.next_take = now_ + spanning(come_back);
+      slice.next_ask = now_ + spanning(come_back);
     }
     if (had < call.quanta) {
       count(name, {CountFor::giving_back, call.customer}, (had - call.quanta) * scale, kPoolLives);
@@ -742,7 +742,7 @@
   }
   if (late) {
     give_up(id, terms_.permits.longest_advice);
-  } else if (room_at_once && asks && now >= slice.next_take) {
+  } else if (room_at_once && asks && now >= slice.next_ask) {
     take_for(id, call, slice);
   } else {
     admit(id, inside && !asks, std::min((units - slice.stored) / std::max(slice.rate, 1e-3), 60.0));
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -74,6 +74,7 @@
   std::int64_t round = -1;  // of the last gift
   double given = 0;         // quanta in that round's pool
   double asked = 0;         // quanta asked for and not yet answered
+  Span next_ask{0};  // of the pool of units
   Span next_take{0};
   Span take_pause{0};
 };
