--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -240,7 +240,7 @@
 // An API call that the store does not cover waits for the answer, for its units and a second's demand.
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
   const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
-  const double units = call.units + ahead - slice.stored;
+  const double units = call.units + ahead - std::max(slice.stored, 0.0);
   const std::int64_t first = round_of(call.customer, now_) / kStanding * kStanding;
   // Where only some calls ask, each takes for those that do not, which are let in until one finds no units.
   count(call.customer + "+" + std::to_string(first), {CountFor::api_call, call.customer, units, id},
@@ -258,11 +258,11 @@
     const double left = slice.standing * (plan.burst + plan.rate * into) - total;
     const double full = slice.standing * plan.burst;
     // Where the pool does not hold it all, what the API call itself needs.
-    const double least = held == state.calls.end() ? 0 : held->second.units - slice.stored;
+    const double least = held == state.calls.end() ? 0 : held->second.units - std::max(slice.stored, 0.0);
     const double scale = call.amount / call.quanta;
     const double found_there = left + call.amount;
     const double had = found_there >= call.quanta ? call.quanta : found_there >= least ? least : 0;
-    slice.stored += had;
+    if (had > 0) slice.stored = std::max(slice.stored, 0.0) + had;
     if (had > 0) {
       state.dry.erase(key_of(call.customer));
     } else {
@@ -737,8 +737,7 @@
   const bool asks = pool && !repeat && state.chance() <= part_asking(call) * double(state.chance.max());
   bool inside = room_at_once && (plan.rate <= 0 || slice.stored > 0);
   if (pool && !asks) {
-    inside = room_at_once && !repeat && !is_dry(call.customer);
-    if (inside) slice.stored += units;  // one that asked has taken them
+    inside = room_at_once && !repeat && !is_dry(call.customer) && slice.stored > -slice.standing * plan.burst;
   }
   if (late) {
     give_up(id, terms_.permits.longest_advice);
