--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -737,7 +737,7 @@
   const bool asks = pool && !repeat && state.chance() <= part_asking(call) * double(state.chance.max());
   bool inside = room_at_once && (plan.rate <= 0 || slice.stored > 0);
   if (pool && !asks) {
-    inside = room_at_once && !repeat && !is_dry(call.customer) && slice.stored > -slice.standing * plan.burst;
+    inside = room_at_once && !repeat && !is_dry(call.customer) && slice.stored > -slice.standing * plan.burst / 4;
   }
   if (late) {
     give_up(id, terms_.permits.longest_advice);
