--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -579,7 +579,24 @@
   effects_.send(id, to, limit);
 }
 
-double Choice::strain() const { return state.room > 0 ? static_cast<double>(state.out) / state.room : 1; }
+double Choice::strain() const {
+  return std::max(1 - state.open, state.room > 0 ? static_cast<double>(state.out) / state.room : 1);
+}
+
+// Hundreds of gatekeepers with one try out at each worker press the fleet, and none has tries enough at one
+// worker to see it: all ends at all workers together tell. Slow answers and time-outs close, answers in good
+// time open twice as fast, so a third of answers lost, or a fifth of the workers hung, closes nothing. Low,
+// it halves and doubles.
+void Choice::learn_pressure(bool slow) {
+  state.open += slow ? -std::min(0.05, state.open / 2) : std::min(0.1, state.open);
+  state.open = std::clamp(state.open, 1.0 / 64, 1.0);
+}
+
+// Dear calls for their time are let through sooner.
+bool Choice::let_through(const ApiCall& call) {
+  const double dear = call.rank / std::min(state.rank, -1e-9);
+  return state.chance() >= (1 - state.open) / std::max(dear, 1e-3) * double(state.chance.max());
+}
 
 double Choice::size_of(const ApiCall& call) const {
   return std::clamp(call.units / std::max(state.routes[call.route].units, 1e-3), 0.5, 4.0);
@@ -624,10 +641,13 @@
       worker.window += 1 / worker.window;
     }
     if (share > near) shrink(0.8);
+    learn_pressure(share > near);
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
+    learn_pressure(true);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
     shrink(outcome == Outcome::timed_out ? 0.5 : 0.8);
+    if (outcome == Outcome::timed_out) learn_pressure(true);
     // Three bad ends in a row of any kind, or two without a connection: set aside, with a trickle that
     // doubles while it goes well. For hung, silent, dead and failing workers alike, and for a fleet that is
     // pressed.
@@ -728,6 +748,7 @@
   // Billed value for the time it takes a worker goes first; the plan's factor is left out, so that a pressed
   // fleet does not fail one plan alone.
   call.rank = -route.billed_value * seen.units / std::max(seen.work, 1e-3);
+  state.rank = state.rank < 0 ? state.rank + 0.02 * (call.rank - state.rank) : call.rank;
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
   const bool late = call.due <= now;
   call.beyond = true;  // nothing is taken yet
@@ -737,7 +758,8 @@
   const bool asks = pool && !repeat && state.chance() <= part_asking(call) * double(state.chance.max());
   bool inside = room_at_once && (plan.rate <= 0 || slice.stored > 0);
   if (pool && !asks) {
-    inside = room_at_once && !repeat && !is_dry(call.customer) && slice.stored > -slice.standing * plan.burst / 4;
+    inside =
+        room_at_once && !repeat && !is_dry(call.customer) && slice.stored > -slice.standing * plan.burst / 4;
   }
   if (late) {
     give_up(id, terms_.permits.longest_advice);
@@ -773,7 +795,7 @@
   };
   if (any(&UpstreamTry::out)) return;
   // No further try of what may have run while the fleet is pressed.
-  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.9))
+  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.9) || !let_through(call))
     return give_up(id, terms_.permits.longest_advice);
   call.waiting = true;
   state.waiting.insert({call.rank, id});
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -74,7 +74,7 @@
   std::int64_t round = -1;  // of the last gift
   double given = 0;         // quanta in that round's pool
   double asked = 0;         // quanta asked for and not yet answered
-  Span next_ask{0};  // of the pool of units
+  Span next_ask{0};         // of the pool of units
   Span next_take{0};
   Span take_pause{0};
 };
@@ -126,7 +126,9 @@
   std::size_t resting = 0;  // ready workers set aside
   Span back_at{0};          // when this gatekeeper last came back from standing still
   Span woken_for = Span::max();
-  double units = 0;  // of an API call of late
+  double open = 1;   // how many of the API calls are let through to the workers
+  double rank = 0;   // of an API call of late
+  double units = 0;  // the same
   double asks = 1;   // how many of the API calls for which the counter could be asked do so
   std::unordered_map<std::uint32_t, Dry> dry;         // customers whose pool is empty, until when
   std::set<std::pair<Span, std::uint32_t>> dry_ends;  // the same by time
