--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -641,7 +641,7 @@
       worker.window += 1 / worker.window;
     }
     if (share > near) shrink(0.8);
-    learn_pressure(share > near);
+    learn_pressure(share > 0.5);
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
     learn_pressure(true);
