--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -594,7 +594,7 @@
 
 // Dear calls for their time are let through sooner.
 bool Choice::let_through(const ApiCall& call) {
-  const double dear = call.rank / std::min(state.rank, -1e-9);
+  const double dear = state.rank < 0 ? std::min(call.rank / state.rank, 4.0) : 1;
   return state.chance() >= (1 - state.open) / std::max(dear, 1e-3) * double(state.chance.max());
 }
 
@@ -641,7 +641,7 @@
       worker.window += 1 / worker.window;
     }
     if (share > near) shrink(0.8);
-    learn_pressure(share > 0.5);
+    learn_pressure(share * size > 0.5);
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
     learn_pressure(true);
@@ -748,7 +748,7 @@
   // Billed value for the time it takes a worker goes first; the plan's factor is left out, so that a pressed
   // fleet does not fail one plan alone.
   call.rank = -route.billed_value * seen.units / std::max(seen.work, 1e-3);
-  state.rank = state.rank < 0 ? state.rank + 0.02 * (call.rank - state.rank) : call.rank;
+  if (seen.work > 0) state.rank += (state.rank < 0 ? 0.02 : 1) * (call.rank - state.rank);
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
   const bool late = call.due <= now;
   call.beyond = true;  // nothing is taken yet
