--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -588,7 +588,7 @@
 // time open twice as fast, so a third of answers lost, or a fifth of the workers hung, closes nothing. Low,
 // it halves and doubles.
 void Choice::learn_pressure(bool slow) {
-  state.open += slow ? -std::min(0.05, state.open / 2) : std::min(0.1, state.open);
+  state.open += slow ? -std::min(0.1, state.open / 2) : std::min(0.1, state.open);
   state.open = std::clamp(state.open, 1.0 / 64, 1.0);
 }
 
