--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -584,11 +584,15 @@
 }
 
 // Hundreds of gatekeepers with one try out at each worker press the fleet, and none has tries enough at one
-// worker to see it: all ends at all workers together tell. Slow answers and time-outs close, answers in good
-// time open twice as fast, so a third of answers lost, or a fifth of the workers hung, closes nothing. Low,
-// it halves and doubles.
-void Choice::learn_pressure(bool slow) {
-  state.open += slow ? -std::min(0.1, state.open / 2) : std::min(0.1, state.open);
+// worker to see it: all ends at all workers together tell. Answers in good time open the way, slow ones close
+// it. A time-out closes as far as answers are slow, or most ends are bad: a third of answers lost, or a fifth
+// of the workers hung, closes nothing. Low, it halves and doubles.
+void Choice::learn_pressure(bool answered, bool slow) {
+  // Over sixteen ends or so: a few seconds' of a gatekeeper among hundreds.
+  state.quick += ((answered && !slow) - state.quick) / 16;
+  if (answered) state.slow += (slow - state.slow) / 16;
+  const double step = answered || state.quick < 0.5 ? 0.1 : 0.1 * state.slow;
+  state.open += slow ? -std::min(step, state.open / 2) : std::min(step, state.open);
   state.open = std::clamp(state.open, 1.0 / 64, 1.0);
 }
 
@@ -641,13 +645,13 @@
       worker.window += 1 / worker.window;
     }
     if (share > near) shrink(0.8);
-    learn_pressure(share > std::max(0.35, near));
+    learn_pressure(true, share > std::max(0.35, near));
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
-    learn_pressure(true);
+    learn_pressure(false, true);
   } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
     shrink(outcome == Outcome::timed_out ? 0.5 : 0.8);
-    if (outcome == Outcome::timed_out) learn_pressure(true);
+    if (outcome == Outcome::timed_out) learn_pressure(false, true);
     // Three bad ends in a row of any kind, or two without a connection: set aside, with a trickle that
     // doubles while it goes well. For hung, silent, dead and failing workers alike, and for a fleet that is
     // pressed.
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -96,7 +96,7 @@
   std::int64_t round_of(const std::string& customer, Span when) const;
   Span round_start(const std::string& customer, std::int64_t round) const;
   double strain() const;
-  void learn_pressure(bool slow);
+  void learn_pressure(bool answered, bool slow);
   bool let_through(const ApiCall& call);
   Span advice(Span wish) const;
   Span next_wake() const;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -126,6 +126,8 @@
   std::size_t resting = 0;  // ready workers set aside
   Span back_at{0};          // when this gatekeeper last came back from standing still
   Span woken_for = Span::max();
+  double quick = 1;  // how many of the tries of late ended in good time
+  double slow = 0;   // how many of the answers of late were slow
   double open = 1;   // how many of the API calls are let through to the workers
   double rank = 0;   // of an API call of late
   double units = 0;  // the same
