--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -645,7 +645,7 @@
       worker.window += 1 / worker.window;
     }
     if (share > near) shrink(0.8);
-    learn_pressure(true, share > std::max(0.35, near));
+    learn_pressure(true, share > std::max(0.5, near));
   } else if (outcome == Outcome::no_room) {
     shrink(0.5);
     learn_pressure(false, true);
