Swaps last one round, then all slices go back to their start

No tally, returns and drift are needed, a lost pool heals within a round, and parts of a quota are no longer rounded to hundredths.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -6,6 +6,7 @@
 #include "choice.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace ironquay {
@@ -19,37 +20,28 @@
   for (const unsigned char c : text) sum = (sum ^ c) * 1099511628211u;
   return sum;
 }
+// What gatekeepers tell each other of a customer: a number of ten digits at most.
+std::uint32_t key_of(std::string_view customer) { return static_cast<std::uint32_t>(sum_of(customer)); }
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
 Span spanning(double seconds) {
   return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
 }
 
-// A round is long, so that reading a pool and giving anew are rare; gifts and takes come all through it.
-constexpr Span kRound = 16s;
+// A round is long, so that giving anew is rare; gifts and takes come all through it. Its names outlive it,
+// and the counter allows a minute.
+constexpr Span kRound = 48s;
+constexpr Span kLives = kRound + 10s;
 // Surplus is looked for this often, a few times in the spells for which demand stays where it is.
 constexpr Span kBeat = 2s;
 // Demand is measured over about two beats: shorter sees single API calls, longer yesterday's gatekeeper.
 constexpr Span kMeasure = 4s;
-// A pool's name must outlive its round with room for slow calls; the counter itself allows a minute.
-constexpr Span kPoolLives = kRound + 10s;
-// The pool of standing parts starts anew every third round, as a name may live for a minute.
-constexpr std::int64_t kStanding = 3;
-// Slices move in hundredths of the quota. Pool and tally ride in one number: a gift adds 1001 for each, a
-// take takes off 1: the thousands are the tally, the rest is what is left, which may be below nought.
-constexpr double kQuanta = 100;
-constexpr double kTally = 1000;
+// A customer whose pool was found empty counts as such for longer than most bursts last, so that one that
+// asks too much for long is told of rarely.
+constexpr Span kDry = 8s;
 // At most half a starting slice is given, so what it carries of the store is twice its own part: all of it.
 constexpr double kCarries = 2;
 
-struct Pool {
-  double tally, left;
-};
-Pool pool_of(double total) {
-  const double tally = std::floor((total + kTally / 2) / kTally);
-  return {tally, total - tally * kTally};
-}
-
 }  // namespace
 
 struct Choice::Rule {
@@ -208,7 +200,7 @@
   slice.filled = now_;
   if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
     state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, found->first));
-    slice.round = round_of(found->first, now_);
+    slice.round = (now_ + shift_of(found->first)) / kRound;
   }
   return slice;
 }
@@ -241,10 +233,9 @@
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
   const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
   const double units = call.units + ahead - std::max(slice.stored, 0.0);
-  const std::int64_t first = round_of(call.customer, now_) / kStanding * kStanding;
   // Where only some calls ask, each takes for those that do not, which are let in until one finds no units.
-  count(call.customer + "+" + std::to_string(first), {CountFor::api_call, call.customer, units, id},
-        is_dry(call.customer) ? units : units / part_asking(call), kStanding * kRound + 10s);
+  count(pool_name(call.customer, '+'), {CountFor::api_call, call.customer, units, id},
+        is_dry(call.customer) ? units : units / part_asking(call));
 }
 
 void Choice::take_for_ends(const CountCall& call, std::string_view name, bool passed, double total) {
@@ -253,8 +244,7 @@
   double come_back = 0;
   if (passed) {
     const Plan& plan = terms_.plans[slice.plan];
-    const auto first = std::stoll(std::string(name.substr(name.rfind('+') + 1)));
-    const double into = seconds(now_ - round_start(call.customer, first));
+    const double into = seconds((now_ + shift_of(call.customer)) % kRound);
     const double left = slice.standing * (plan.burst + plan.rate * into) - total;
     const double full = slice.standing * plan.burst;
     // Where the pool does not hold it all, what the API call itself needs.
@@ -266,78 +256,56 @@
     if (had > 0) {
       state.dry.erase(key_of(call.customer));
     } else {
-      found_dry(call.customer, slice);
+      if (!is_dry(call.customer)) tell_dry(call.customer, slice);
+      note_dry(key_of(call.customer));
     }
     if (had <= 0) {
       come_back = -left / (slice.standing * plan.rate);
       slice.next_ask = now_ + spanning(come_back);
     }
     if (had < call.quanta) {
-      count(name, {CountFor::giving_back, call.customer}, (had - call.quanta) * scale, kPoolLives);
+      count(name, {CountFor::giving_back, call.customer}, (had - call.quanta) * scale);
     } else if (left > full && (total <= call.amount || state.chance() % 4 == 0)) {
       // A full pool holds the burst, what fills it further is lost. Its first taker says so, later one in
       // four, as it costs a call and more than one may see the same.
-      count(name, {CountFor::giving_back, call.customer}, left - full, kPoolLives);
+      count(name, {CountFor::giving_back, call.customer}, left - full);
     }
   }
   if (held == state.calls.end()) return;
   admit(call.id, passed ? slice.stored >= held->second.units : slice.stored > 0, come_back);
 }
 
-// A pool found empty is told to the customer's other gatekeepers: those that cannot ask then know. It counts
-// as empty for the time in which the burst fills, twice as long each time it is found so soon again.
-std::uint32_t Choice::key_of(const std::string& customer) const {
-  return static_cast<std::uint32_t>(sum_of(customer));
-}
-
+// A pool found empty is told to the customer's other gatekeepers: for some time those that cannot ask know.
 bool Choice::is_dry(const std::string& customer) const {
   const auto found = state.dry.find(key_of(customer));
-  return found != state.dry.end() && now_ < found->second.until;
+  return found != state.dry.end() && now_ < found->second;
 }
 
-void Choice::found_dry(const std::string& customer, const Slice& slice) {
-  if (is_dry(customer)) return;
-  const Plan& plan = terms_.plans[slice.plan];
-  const std::uint32_t key = key_of(customer);
-  const auto known = state.dry.find(key);
-  int tenths = static_cast<int>(10 * plan.burst / plan.rate);
-  if (known != state.dry.end()) tenths = 2 * known->second.tenths;
-  tenths = std::clamp(tenths, 5, 160);
-  note_dry(key, tenths);
+void Choice::note_dry(std::uint32_t key) {
+  state.dry[key] = now_ + kDry;
+  state.dry_ends.push_back(key);
+  for (auto old = state.dry.find(state.dry_ends.front()); old == state.dry.end() || old->second <= now_;
+       old = state.dry.find(state.dry_ends.front())) {
+    if (old != state.dry.end()) state.dry.erase(old);
+    state.dry_ends.pop_front();
+  }
+}
+
+void Choice::tell_dry(const std::string& customer, const Slice& slice) {
   // Each gatekeeper tells as seldom as makes half of what all of them can take in.
   if (terms_.permits.peer_intake <= 0 || now_ < state.next_tell) return;
   const int spread = static_cast<int>(std::lround(1 / slice.share));
   state.next_tell = now_ + spanning(2 * spread / terms_.permits.peer_intake);
-  std::string bytes(1, static_cast<char>(tenths));
-  for (int at = 0; at < 4; ++at) bytes.push_back(static_cast<char>(key >> (8 * at)));
+  const std::string key = std::to_string(key_of(customer));
   for (int i = 0; i < spread; ++i) {
     const int peer = (slice.first + i) % terms_.gatekeepers;
-    if (peer != terms_.me) effects_.tell(peer, bytes);
+    if (peer != terms_.me) effects_.tell(peer, key);
   }
 }
 
-void Choice::note_dry(std::uint32_t key, int tenths) {
-  const Span until = now_ + tenths * 100ms;
-  state.dry[key] = {until, tenths};
-  // Remembered for as long again.
-  state.dry_ends.emplace(until + tenths * 100ms, key);
-  for (auto at = state.dry_ends.begin(); at->first <= now_; at = state.dry_ends.erase(at)) {
-    const auto found = state.dry.find(at->second);
-    if (found != state.dry.end() && found->second.until + found->second.tenths * 100ms <= now_)
-      state.dry.erase(found);
-  }
-}
-
-std::string Choice::pool_name(const std::string& customer, std::int64_t round) const {
-  return customer + ":" + std::to_string(round);
-}
-
-std::int64_t Choice::round_of(const std::string& customer, Span when) const {
-  return (when + shift_of(customer)) / kRound;
-}
-
-Span Choice::round_start(const std::string& customer, std::int64_t round) const {
-  return round * kRound - shift_of(customer);
+// Rates and units have a name each for every round.
+std::string Choice::pool_name(const std::string& customer, char kind) const {
+  return customer + kind + std::to_string((now_ + shift_of(customer)) / kRound);
 }
 
 // Rounds of different customers start at different times, the same at all gatekeepers, so that the counter's
@@ -347,71 +315,53 @@
       static_cast<std::int64_t>((sum_of(customer) >> 20) % static_cast<std::uint64_t>(kRound.count())));
 }
 
-// Slice and the stored units that belong to it, both in hundredths of the customer's.
-void Choice::move(Slice& slice, double quanta) {
+// Slice and the stored units that belong to it, as a part of the customer's quota.
+void Choice::move(Slice& slice, double part) {
   const Plan& plan = terms_.plans[slice.plan];
-  slice.rate += quanta * plan.rate / kQuanta;
-  slice.stored += kCarries * quanta * plan.burst / kQuanta;
+  slice.rate += part * plan.rate;
+  slice.stored += kCarries * part * plan.burst;
 }
 
-// The counter's time limit is the margin between phases: what is read back is taken from no more.
-Span Choice::read_margin() const { return 3 * (terms_.permits.counter_limit + terms_.tick); }
-Span Choice::takes_until() const { return kRound - 2 * read_margin(); }
-
 void Choice::give_surplus(const std::string& customer, Slice& slice) {
   // While the counter is silent slices stay put.
   if (now_ < state.counter_quiet_until) return;
   refill(slice);
-  const std::int64_t round = round_of(customer, now_);
-  if (round != slice.round) {
-    // Drift: each round every slice moves a little to its start. If all do, a right sum stays right and a
-    // wrong one heals, whether a pool was lost or a gatekeeper came back with a fresh slice.
-    slice.rate += 0.2 * (slice.start - slice.rate);
-    slice.given = 0;
-    slice.round = round;
-  }
-  if (now_ - round_start(customer, round) >= takes_until()) return;
+  const std::int64_t round = (now_ + shift_of(customer)) / kRound;
+  // At a round's end every slice goes back to its start: givers take back what they gave, and a sum that a
+  // lost pool or a restart made wrong is right again.
+  if (round != slice.round) slice.rate = slice.start;
+  slice.round = round;
   const Plan& plan = terms_.plans[slice.plan];
-  const double quota = plan.rate;
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
-  const double spare = std::min(slice.rate - slice.demand - slice.start / 2,
-                                (slice.stored - slice.units) * quota / std::max(kCarries * plan.burst, 1e-3));
-  const double quanta = std::floor(spare / quota * kQuanta);
+  const double spare = std::min((slice.rate - slice.demand - slice.start / 2) / plan.rate,
+                                (slice.stored - slice.units) / std::max(kCarries * plan.burst, 1e-3));
   // A gift under a fifth of the starting slice is not worth its calls.
-  if (quanta < 0.2 * kQuanta * slice.share) return;
-  move(slice, -quanta);
-  count(pool_name(customer, round), {CountFor::gift, customer, quanta}, quanta * (kTally + 1), kPoolLives);
+  if (spare < 0.2 * slice.share) return;
+  move(slice, -spare);
+  count(pool_name(customer, ':'), {CountFor::gift, customer, spare}, spare);
 }
 
 void Choice::take_from_pool(const std::string& customer, Slice& slice) {
-  const std::int64_t round = round_of(customer, now_);
-  const Span into = now_ - round_start(customer, round);
-  if (into >= takes_until() || now_ < slice.next_take || slice.asked > 0) return;
+  if (now_ < slice.next_take || slice.asked > 0 || slice.round != (now_ + shift_of(customer)) / kRound)
+    return;
   if (now_ < state.counter_quiet_until || !terms_.permits.counter || slice.share >= 1) return;
   const Plan& plan = terms_.plans[slice.plan];
   // Starting slices that store less than one call's units have nothing to give: no call is spent on asking.
   if (plan.burst * slice.share * (1 - slice.standing) < slice.units) return;
-  const double quota = plan.rate;
   // Short of demand in rate, or of the next two API calls' units in store, whichever is more.
-  const double need = std::max((std::min(slice.demand, quota) - slice.rate) / quota,
+  const double need = std::max((std::min(slice.demand, plan.rate) - slice.rate) / plan.rate,
                                (2 * slice.units - slice.stored) / std::max(kCarries * plan.burst, 1e-3));
-  const double quanta = std::ceil(std::min(need, 1.0) * kQuanta);
-  if (quanta < 0.1 * kQuanta * slice.share) return;
-  slice.asked = quanta;
-  count(pool_name(customer, round), {CountFor::take, customer, quanta}, -quanta, kPoolLives);
-}
-
-void Choice::read_pool(const std::string& customer, Slice& slice) {
-  if (slice.given > 0)
-    count(pool_name(customer, slice.round), {CountFor::reading, customer, slice.given}, 0, kPoolLives);
+  if (need < 0.1 * slice.share) return;
+  slice.asked = std::min(need, 1.0);
+  count(pool_name(customer, ':'), {CountFor::take, customer, slice.asked}, -slice.asked);
 }
 
-void Choice::count(std::string_view name, CountCall call, double amount, Span lives) {
+void Choice::count(std::string_view name, CountCall call, double amount) {
   call.amount = amount;
   call.asked = now_;
   state.counting[std::string(name)].push_back(std::move(call));
-  effects_.count(name, amount, lives);
+  effects_.count(name, amount, kLives);
 }
 
 void Choice::count_ends(Span now, std::string_view name, Outcome outcome, double total) {
@@ -436,33 +386,21 @@
   const auto found = state.slices.find(call.customer);
   if (found == state.slices.end()) return settle();
   Slice& slice = found->second;
-  const Pool pool = pool_of(total);
   refill(slice);
   if (call.what == CountFor::api_call) {
     take_for_ends(call, name, passed, total);
   } else if (call.what == CountFor::gift) {
     // Only what is known never to have been added comes back; a gift that may have been is gone.
-    if (passed) {
-      if (slice.given <= 0)
-        state.agenda.emplace(round_start(call.customer, slice.round) + kRound - read_margin(),
-                             std::pair(Duty::round_ends, call.customer));
-      slice.given += call.quanta;
-    }
     if (outcome == Outcome::no_room || outcome == Outcome::no_route) move(slice, call.quanta);
   } else if (call.what == CountFor::take) {
     slice.asked = 0;
-    const double over = passed ? std::clamp(-pool.left, 0.0, call.quanta) : call.quanta;
+    const double over = passed ? std::clamp(-total, 0.0, call.quanta) : call.quanta;
     move(slice, call.quanta - over);
-    if (passed && over > 0) {
-      count(name, {CountFor::giving_back, call.customer}, over, kPoolLives);
-    }
+    if (passed && over > 0) count(name, {CountFor::giving_back, call.customer}, over);
     // An empty pool is asked again half a second later, then after twice that, up to half a round.
     slice.take_pause =
         over < call.quanta ? Span(0) : std::clamp<Span>(2 * slice.take_pause, 500ms, kRound / 2);
     slice.next_take = now + (over > 0 ? std::max<Span>(slice.take_pause, 500ms) : Span(0));
-  } else if (call.what == CountFor::reading && passed && pool.tally > 0) {
-    const double back = std::floor(std::max(0.0, pool.left) * std::min(1.0, call.quanta / pool.tally));
-    move(slice, back);
   }
   settle();
 }
@@ -474,9 +412,8 @@
   const auto found = state.slices.find(customer);
   if (found == state.slices.end()) return;
   Slice& slice = found->second;
-  if (duty == Duty::round_ends) return read_pool(customer, slice);
-  // Unseen for two rounds, a customer is dropped.
-  if (now_ - slice.seen > 2 * kRound) return void(state.slices.erase(found));
+  // Unseen for a round, a customer is dropped.
+  if (now_ - slice.seen > kRound) return void(state.slices.erase(found));
   give_surplus(customer, slice);
   state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, customer));
 }
@@ -909,10 +846,9 @@
 
 void Choice::peer_says(Span now, int, std::string_view bytes) {
   hear(now);
-  if (bytes.size() != 5) return;
   std::uint32_t key = 0;
-  for (int at = 0; at < 4; ++at) key |= std::uint32_t{static_cast<unsigned char>(bytes[at + 1])} << (8 * at);
-  note_dry(key, static_cast<unsigned char>(bytes[0]));
+  const auto [end, error] = std::from_chars(bytes.data(), bytes.data() + bytes.size(), key);
+  if (error == std::errc() && end == bytes.data() + bytes.size()) note_dry(key);
 }
 
 }  // namespace ironquay
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -59,7 +59,6 @@
   void refill(Slice& slice);
   void give_surplus(const std::string& customer, Slice& slice);
   void take_from_pool(const std::string& customer, Slice& slice);
-  void read_pool(const std::string& customer, Slice& slice);
   void learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took);
 
   State state;
@@ -81,20 +80,17 @@
   void give_up(CallId id, Span come_back);
   void cancel_rest(CallId id, const ApiCall& call);
   void forget(CallId id);
-  void move(Slice& slice, double quanta);
+  void move(Slice& slice, double part);
   void admit(CallId id, bool inside, double come_back);
   void take_for(CallId id, const ApiCall& call, Slice& slice);
   void take_for_ends(const CountCall& call, std::string_view name, bool passed, double total);
   double part_asking(const ApiCall& call) const;
   double pooled(const Slice& slice) const;
-  std::uint32_t key_of(const std::string& customer) const;
   bool is_dry(const std::string& customer) const;
-  void found_dry(const std::string& customer, const Slice& slice);
-  void note_dry(std::uint32_t key, int tenths);
-  void count(std::string_view name, CountCall call, double amount, Span lives);
-  std::string pool_name(const std::string& customer, std::int64_t round) const;
-  std::int64_t round_of(const std::string& customer, Span when) const;
-  Span round_start(const std::string& customer, std::int64_t round) const;
+  void note_dry(std::uint32_t key);
+  void tell_dry(const std::string& customer, const Slice& slice);
+  void count(std::string_view name, CountCall call, double amount);
+  std::string pool_name(const std::string& customer, char kind) const;
   double strain() const;
   void learn_pressure(bool answered, bool slow);
   bool let_through(const ApiCall& call);
@@ -103,8 +99,6 @@
   Span shift_of(const std::string& customer) const;
   double size_of(const ApiCall& call) const;
   std::size_t waiting_limit() const;
-  Span read_margin() const;
-  Span takes_until() const;
 
   Terms terms_;
   Effects& effects_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -71,26 +71,19 @@
   int out = 0;
   Span filled{0};
   Span seen{0};
-  std::int64_t round = -1;  // of the last gift
-  double given = 0;         // quanta in that round's pool
-  double asked = 0;         // quanta asked for and not yet answered
+  std::int64_t round = -1;  // in which it last moved
+  double asked = 0;         // of the quota, not yet answered
   Span next_ask{0};         // of the pool of units
   Span next_take{0};
   Span take_pause{0};
 };
 
-// A customer whose pool of units was found empty.
-struct Dry {
-  Span until{0};
-  int tenths = 0;  // of a second, for which it counts as empty
-};
-
-enum class CountFor { gift, take, reading, giving_back, api_call };
+enum class CountFor { gift, take, giving_back, api_call };
 struct CountCall {
   CountFor what = CountFor::gift;
   std::string customer;
-  double quanta = 0;
-  CallId id = 0;  // of the API call that waits for the answer
+  double quanta = 0;  // of the quota, or units for an API call
+  CallId id = 0;      // of the API call that waits for the answer
   double amount = 0;
   Span asked{0};
 };
@@ -103,7 +96,7 @@
   Span first_left{0};  // what a client grants its first try at most
 };
 
-enum class Duty { beat, round_ends, ask_for_list };
+enum class Duty { beat, ask_for_list };
 
 struct State {
   std::map<CallId, ApiCall> calls;
@@ -132,8 +125,8 @@
   double rank = 0;   // of an API call of late
   double units = 0;  // the same
   double asks = 1;   // how many of the API calls for which the counter could be asked do so
-  std::unordered_map<std::uint32_t, Dry> dry;         // customers whose pool is empty, until when
-  std::set<std::pair<Span, std::uint32_t>> dry_ends;  // the same by time
+  std::unordered_map<std::uint32_t, Span> dry;  // customers whose pool is empty, until when
+  std::deque<std::uint32_t> dry_ends;           // the same, oldest first
   Span next_tell{0};
   Span counter_rest{0};
   Span counter_quiet_until{0};
