--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,8 +1,7 @@
-// All decisions of a gatekeeper. The interface and what the module does to the world stand in choice.hpp;
-// plain data in state.hpp, settings in terms.hpp. Make one Choice for each gatekeeper, tell it each thing
-// that happens by the call of that name with the clock's time, and carry out what it calls on Effects. It
-// asks for no clock, no thread and no other input. Each call notes what happened, then goes through the rules
-// below until none fires.
+// All decisions of a gatekeeper. The interface stands in choice.hpp, plain data in state.hpp, settings in
+// terms.hpp. Make one Choice for each gatekeeper, tell it each thing that happens by the call of that name
+// with the clock's time, and carry out what it calls on Effects. It asks for no clock, no thread and no other
+// input. Each call notes what happened, then goes through the rules below until none fires.
 #include "choice.hpp"
 
 #include <algorithm>
@@ -46,49 +45,29 @@
 
 struct Choice::Rule {
   bool (*holds)(const Choice&);
-  void (*act)(Choice&);
+  void (Choice::*act)();
 };
 
 void Choice::settle() {
   static const Rule rules[] = {
       {[](const Choice& c) { return !c.state.dues.empty() && c.state.dues.begin()->first <= c.now_; },
-       [](Choice& c) { c.end_due(); }},
-      {[](const Choice& c) { return !c.state.to_judge.empty(); },
-       [](Choice& c) {
-         const CallId id = c.state.to_judge.front();
-         c.state.to_judge.pop_front();
-         c.judge(id);
-       }},
-      {[](const Choice& c) { return c.state.room_again && !c.state.waiting.empty(); },
-       [](Choice& c) { c.send_waiting(); }},
-      {[](const Choice& c) { return c.state.waiting.size() > c.waiting_limit(); },
-       [](Choice& c) { c.drop_waiting(); }},
-      {[](const Choice& c) { return !c.state.short_of.empty(); },
-       [](Choice& c) {
-         const std::string customer = std::move(c.state.short_of.front());
-         c.state.short_of.pop_front();
-         const auto found = c.state.slices.find(customer);
-         if (found != c.state.slices.end()) c.take_from_pool(customer, found->second);
-       }},
+       &Choice::end_due},
+      {[](const Choice& c) { return !c.state.to_judge.empty(); }, &Choice::judge},
+      {[](const Choice& c) { return c.state.room_again && !c.state.waiting.empty(); }, &Choice::send_waiting},
+      {[](const Choice& c) { return c.state.waiting.size() > c.waiting_limit(); }, &Choice::drop_waiting},
       {[](const Choice& c) { return !c.state.agenda.empty() && c.state.agenda.begin()->first <= c.now_; },
-       [](Choice& c) { c.act_on_agenda(); }},
-      {[](const Choice& c) { return c.next_wake() < c.state.woken_for; },
-       [](Choice& c) {
-         c.state.woken_for = c.next_wake();
-         c.effects_.wake_at(c.state.woken_for);
-       }},
+       &Choice::act_on_agenda},
+      {[](const Choice& c) { return c.next_wake() < c.state.woken_for; }, &Choice::wake_later},
   };
-  for (bool fired = true; fired;) {
-    fired = false;
-    for (const Rule& rule : rules) {
-      if (!rule.holds(*this)) continue;
-      rule.act(*this);
-      fired = true;
-      break;
-    }
+  for (const Rule* rule = rules; rule != std::end(rules);) {
+    const bool fires = rule->holds(*this);
+    if (fires) (this->*rule->act)();
+    rule = fires ? rules : rule + 1;
   }
 }
 
+void Choice::wake_later() { effects_.wake_at(state.woken_for = next_wake()); }
+
 // Every input starts here. A timer long overdue tells that this gatekeeper itself stood still: what was out
 // then says nothing of the workers.
 void Choice::hear(Span now) {
@@ -145,15 +124,11 @@
     if (one.out) learn(state.workers[one.worker], call, Outcome::timed_out, now_ - one.sent);
   }
   cancel_rest(id, call);
-  if (leave.rate_limit) {
-    effects_.rate_limit(id, advice(come_back));
-  } else {
-    effects_.error(id);
-  }
-  if (call.tries.empty() && !call.beyond) {
-    const auto slice = state.slices.find(call.customer);
-    if (slice != state.slices.end()) slice->second.stored += call.units;
-  }
+  const Span longest = terms_.permits.advice ? terms_.permits.longest_advice : Span(0);
+  if (leave.rate_limit) effects_.rate_limit(id, std::clamp(come_back, Span(0), longest));
+  if (!leave.rate_limit) effects_.error(id);
+  const auto slice = state.slices.find(call.customer);
+  if (call.tries.empty() && !call.beyond && slice != state.slices.end()) slice->second.stored += call.units;
   forget(id);
 }
 
@@ -174,10 +149,6 @@
   state.calls.erase(id);
 }
 
-Span Choice::advice(Span wish) const {
-  return terms_.permits.advice ? std::clamp(wish, Span(0), terms_.permits.longest_advice) : Span(0);
-}
-
 void Choice::end_due() { give_up(state.dues.begin()->second, terms_.permits.longest_advice); }
 
 // ---- Quota: local slices, moved each round through a pool on the counter.
@@ -191,17 +162,17 @@
   slice.plan = plan_at;
   slice.share = 1.0 / std::max(1, spread);
   slice.rate = slice.start = plan.rate * slice.share;
-  // What a starting slice lacks of storing a largest API call can let none in by itself: that part of every
-  // slice stands in a pool of units from the start, and calls that the store doesn't cover take from it.
-  if (plan.rate > 0 && terms_.permits.counter && spread > 1)
+  slice.round = round_of(found->first);
+  // What a slice lacks of storing large API calls lets none in by itself. That part of every slice stands in
+  // a pool of units from the start, and calls that the store does not cover take from it. Eight largest
+  // calls' worth of store is halfway: there slices still refuse what others have room for.
+  if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
     slice.standing = 1 / (1 + plan.burst * slice.share / (8 * terms_.most_units));
+    state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, found->first));
+  }
   slice.stored = plan.burst * slice.share * (1 - pooled(slice));
   // The ceiling's local store starts empty: a gatekeeper that starts anew must not fill it a second time.
   slice.filled = now_;
-  if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
-    state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, found->first));
-    slice.round = (now_ + shift_of(found->first)) / kRound;
-  }
   return slice;
 }
 
@@ -238,44 +209,35 @@
         is_dry(call.customer) ? units : units / part_asking(call));
 }
 
-void Choice::take_for_ends(const CountCall& call, std::string_view name, bool passed, double total) {
+void Choice::take_for_ends(const CountCall& call, std::string_view name, double total) {
   Slice& slice = state.slices.at(call.customer);
+  const Plan& plan = terms_.plans[slice.plan];
+  const double full = slice.standing * plan.burst;
+  const double into = seconds((now_ + shift_of(call.customer)) % kRound);
+  const double left = full + slice.standing * plan.rate * into - total;
+  // Where the pool does not hold it all, what the API call itself needs.
   const auto held = state.calls.find(call.id);
-  double come_back = 0;
-  if (passed) {
-    const Plan& plan = terms_.plans[slice.plan];
-    const double into = seconds((now_ + shift_of(call.customer)) % kRound);
-    const double left = slice.standing * (plan.burst + plan.rate * into) - total;
-    const double full = slice.standing * plan.burst;
-    // Where the pool does not hold it all, what the API call itself needs.
-    const double least = held == state.calls.end() ? 0 : held->second.units - std::max(slice.stored, 0.0);
-    const double scale = call.amount / call.quanta;
-    const double found_there = left + call.amount;
-    const double had = found_there >= call.quanta ? call.quanta : found_there >= least ? least : 0;
-    if (had > 0) slice.stored = std::max(slice.stored, 0.0) + had;
-    if (had > 0) {
-      state.dry.erase(key_of(call.customer));
-    } else {
-      if (!is_dry(call.customer)) tell_dry(call.customer, slice);
-      note_dry(key_of(call.customer));
-    }
-    if (had <= 0) {
-      come_back = -left / (slice.standing * plan.rate);
-      slice.next_ask = now_ + spanning(come_back);
-    }
-    if (had < call.quanta) {
-      count(name, {CountFor::giving_back, call.customer}, (had - call.quanta) * scale);
-    } else if (left > full && (total <= call.amount || state.chance() % 4 == 0)) {
-      // A full pool holds the burst, what fills it further is lost. Its first taker says so, later one in
-      // four, as it costs a call and more than one may see the same.
-      count(name, {CountFor::giving_back, call.customer}, left - full);
-    }
+  const double least = held == state.calls.end() ? 0 : held->second.units - std::max(slice.stored, 0.0);
+  const double there = left + call.amount;
+  const double had = there >= call.part ? call.part : there >= least ? least : 0;
+  if (had > 0) {
+    slice.stored = std::max(slice.stored, 0.0) + had;
+    state.dry.erase(key_of(call.customer));
+  } else {
+    slice.next_ask = now_ + spanning(-left / (slice.standing * plan.rate));
+    if (!is_dry(call.customer)) tell_dry(call.customer, slice);
+    note_dry(key_of(call.customer));
+  }
+  if (had < call.part) {
+    count(name, {CountFor::giving_back, call.customer}, (had / call.part - 1) * call.amount);
+  } else if (left > full && (total <= call.amount || state.chance() % 4 == 0)) {
+    // What would fill the pool past the burst is lost. Its first taker says so, later one in four, as it
+    // costs a call and more than one may see the same.
+    count(name, {CountFor::giving_back, call.customer}, left - full);
   }
-  if (held == state.calls.end()) return;
-  admit(call.id, passed ? slice.stored >= held->second.units : slice.stored > 0, come_back);
 }
 
-// A pool found empty is told to the customer's other gatekeepers: for some time those that cannot ask know.
+// A pool found empty is told to the customer's other gatekeepers, so that those that cannot ask know.
 bool Choice::is_dry(const std::string& customer) const {
   const auto found = state.dry.find(key_of(customer));
   return found != state.dry.end() && now_ < found->second;
@@ -284,10 +246,10 @@
 void Choice::note_dry(std::uint32_t key) {
   state.dry[key] = now_ + kDry;
   state.dry_ends.push_back(key);
-  for (auto old = state.dry.find(state.dry_ends.front()); old == state.dry.end() || old->second <= now_;
-       old = state.dry.find(state.dry_ends.front())) {
+  for (auto old = state.dry.find(key);
+       (old = state.dry.find(state.dry_ends.front())) == state.dry.end() || old->second <= now_;
+       state.dry_ends.pop_front()) {
     if (old != state.dry.end()) state.dry.erase(old);
-    state.dry_ends.pop_front();
   }
 }
 
@@ -305,14 +267,17 @@
 
 // Rates and units have a name each for every round.
 std::string Choice::pool_name(const std::string& customer, char kind) const {
-  return customer + kind + std::to_string((now_ + shift_of(customer)) / kRound);
+  return customer + kind + std::to_string(round_of(customer));
+}
+
+std::int64_t Choice::round_of(const std::string& customer) const {
+  return (now_ + shift_of(customer)) / kRound;
 }
 
 // Rounds of different customers start at different times, the same at all gatekeepers, so that the counter's
 // calls come evenly.
 Span Choice::shift_of(const std::string& customer) const {
-  return Span(
-      static_cast<std::int64_t>((sum_of(customer) >> 20) % static_cast<std::uint64_t>(kRound.count())));
+  return Span(static_cast<std::int64_t>(sum_of(customer) >> 20) % kRound.count());
 }
 
 // Slice and the stored units that belong to it, as a part of the customer's quota.
@@ -326,11 +291,10 @@
   // While the counter is silent slices stay put.
   if (now_ < state.counter_quiet_until) return;
   refill(slice);
-  const std::int64_t round = (now_ + shift_of(customer)) / kRound;
   // At a round's end every slice goes back to its start: givers take back what they gave, and a sum that a
   // lost pool or a restart made wrong is right again.
-  if (round != slice.round) slice.rate = slice.start;
-  slice.round = round;
+  if (round_of(customer) != slice.round) slice.rate = slice.start;
+  slice.round = round_of(customer);
   const Plan& plan = terms_.plans[slice.plan];
   // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
   // call's, so that the taker can use at once what the giver would have had to spare.
@@ -343,9 +307,8 @@
 }
 
 void Choice::take_from_pool(const std::string& customer, Slice& slice) {
-  if (now_ < slice.next_take || slice.asked > 0 || slice.round != (now_ + shift_of(customer)) / kRound)
-    return;
-  if (now_ < state.counter_quiet_until || !terms_.permits.counter || slice.share >= 1) return;
+  if (now_ < slice.next_take || slice.asked > 0 || slice.round != round_of(customer)) return;
+  if (now_ < state.counter_quiet_until || slice.standing <= 0) return;
   const Plan& plan = terms_.plans[slice.plan];
   // Starting slices that store less than one call's units have nothing to give: no call is spent on asking.
   if (plan.burst * slice.share * (1 - slice.standing) < slice.units) return;
@@ -376,30 +339,28 @@
   state.counter_rest = passed ? Span(0) : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
   state.counter_quiet_until = now + state.counter_rest;
   // Fewer calls ask while answers are slow: a line at the counter is then half of the time limit long.
-  if (!passed) {
-    state.asks = std::max(1.0 / 64, state.asks * 0.7);
-  } else if (now - call.asked > terms_.permits.counter_limit / 2) {
-    state.asks = std::max(1.0 / 64, state.asks * 0.9);
-  } else {
-    state.asks = std::min(1.0, state.asks + 0.02);
-  }
+  const bool slow = now - call.asked > terms_.permits.counter_limit / 2;
+  state.asks = passed && !slow ? std::min(1.0, state.asks + 0.02)
+                               : std::max(1.0 / 64, state.asks * (passed ? 0.9 : 0.7));
   const auto found = state.slices.find(call.customer);
   if (found == state.slices.end()) return settle();
   Slice& slice = found->second;
   refill(slice);
   if (call.what == CountFor::api_call) {
-    take_for_ends(call, name, passed, total);
+    if (passed) take_for_ends(call, name, total);
+    const auto held = state.calls.find(call.id);
+    if (held != state.calls.end())
+      admit(call.id, slice.stored >= (passed ? held->second.units : 1e-6), seconds(slice.next_ask - now));
   } else if (call.what == CountFor::gift) {
     // Only what is known never to have been added comes back; a gift that may have been is gone.
-    if (outcome == Outcome::no_room || outcome == Outcome::no_route) move(slice, call.quanta);
+    if (outcome == Outcome::no_room || outcome == Outcome::no_route) move(slice, call.part);
   } else if (call.what == CountFor::take) {
     slice.asked = 0;
-    const double over = passed ? std::clamp(-total, 0.0, call.quanta) : call.quanta;
-    move(slice, call.quanta - over);
+    const double over = passed ? std::clamp(-total, 0.0, call.part) : call.part;
+    move(slice, call.part - over);
     if (passed && over > 0) count(name, {CountFor::giving_back, call.customer}, over);
     // An empty pool is asked again half a second later, then after twice that, up to half a round.
-    slice.take_pause =
-        over < call.quanta ? Span(0) : std::clamp<Span>(2 * slice.take_pause, 500ms, kRound / 2);
+    slice.take_pause = over < call.part ? Span(0) : std::clamp<Span>(2 * slice.take_pause, 500ms, kRound / 2);
     slice.next_take = now + (over > 0 ? std::max<Span>(slice.take_pause, 500ms) : Span(0));
   }
   settle();
@@ -464,7 +425,6 @@
 
 bool Choice::pick(const ApiCall& call, WorkerId& chosen) {
   const std::size_t many = state.ready.size();
-  if (many == 0) return false;
   // Fewest own tries out for its size and pace; another zone counts as half a try where crossing has a price.
   const auto load = [&](WorkerId id) {
     const Worker& worker = state.workers.at(id);
@@ -476,17 +436,14 @@
     fill_cold(state.workers.at(id));
     return may_take(call, id);
   };
-  const std::size_t a = state.chance() % many;
-  const std::size_t b = many > 1 ? (a + 1 + state.chance() % (many - 1)) % many : a;
-  const bool a_fits = fits(state.ready[a]), b_fits = fits(state.ready[b]);
-  if (a_fits || b_fits) {
-    const bool take_a = a_fits && (!b_fits || load(state.ready[a]) <= load(state.ready[b]));
-    chosen = state.ready[take_a ? a : b];
-    return true;
-  }
-  for (std::size_t i = 0; i < many; ++i) {
-    chosen = state.ready[(a + i) % many];
-    if (fits(chosen)) return true;
+  // Where neither of two may take it, two others: in a fleet with a quarter fit one is found nearly always.
+  for (int draw = 0; many > 0 && draw < 8; ++draw) {
+    const std::size_t at = state.chance() % many;
+    const WorkerId a = state.ready[at];
+    const WorkerId b = state.ready[(at + 1 + state.chance() % std::max<std::size_t>(1, many - 1)) % many];
+    const bool a_fits = fits(a), b_fits = fits(b);
+    chosen = a_fits && (!b_fits || load(a) <= load(b)) ? a : b;
+    if (a_fits || b_fits) return true;
   }
   return false;
 }
@@ -630,14 +587,11 @@
 
 void Choice::list_closes(Span now) {
   hear(now);
-  if (state.list_kind == ListKind::failed) {
-    // The old list stands. Asked again a second later, well inside the time after which it counts as old.
-    if (terms_.permits.list_on_request) {
-      state.agenda.emplace(now + std::min<Span>(1s, terms_.promises.ask_within / 4),
-                           std::pair(Duty::ask_for_list, std::string()));
-    }
-    return settle();
-  }
+  // The old list stands. Asked again a second later, well inside the time after which it counts as old.
+  if (state.list_kind == ListKind::failed && terms_.permits.list_on_request)
+    state.agenda.emplace(now + std::min<Span>(1s, terms_.promises.ask_within / 4),
+                         std::pair(Duty::ask_for_list, std::string()));
+  if (state.list_kind == ListKind::failed) return settle();
   state.ready.clear();
   state.room = state.warm = 0;
   for (auto& [id, worker] : state.workers) {
@@ -663,11 +617,9 @@
   // A repeat that has other than a first try's time left runs to its client's own time-out, which tells how
   // long ago the first try was; what is past its latency target earns nothing any more. Where it has the
   // same, it is younger than that: half is assumed.
-  Span spent{0};
   if (!repeat) seen.first_left = std::max(seen.first_left, left);
-  if (repeat)
-    spent = std::max(Span(0), route.client_timeout - left) /
-            (std::chrono::abs(left - seen.first_left) > 10ms ? 1 : 2);
+  const int sure = std::chrono::abs(left - seen.first_left) > 10ms ? 1 : 2;
+  const Span spent = repeat ? std::max(Span(0), route.client_timeout - left) / sure : Span(0);
   ApiCall& call = state.calls[id];
   call.route = route_at;
   call.plan = plan_at;
@@ -691,23 +643,23 @@
   call.rank = -route.billed_value * seen.units / std::max(seen.work, 1e-3);
   if (seen.work > 0) state.rank += (state.rank < 0 ? 0.02 : 1) * (call.rank - state.rank);
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
-  const bool late = call.due <= now;
   call.beyond = true;  // nothing is taken yet
   if (!room_at_once || slice.demand > slice.rate || slice.stored < 2 * units)
-    state.short_of.push_back(call.customer);
+    take_from_pool(call.customer, slice);
+  // A call that the store does not cover asks the pool, as far as the counter takes calls. Repeats do not:
+  // what was rate-limited would be asked about over and over. The rest passes unless the pool is known to be
+  // empty, until a gatekeeper has let in a quarter of the burst since it last took.
   const bool pool = pooled(slice) > 0 && slice.stored < units;
   const bool asks = pool && !repeat && state.chance() <= part_asking(call) * double(state.chance.max());
-  bool inside = room_at_once && (plan.rate <= 0 || slice.stored > 0);
-  if (pool && !asks) {
-    inside =
-        room_at_once && !repeat && !is_dry(call.customer) && slice.stored > -slice.standing * plan.burst / 4;
-  }
-  if (late) {
+  bool inside = plan.rate <= 0 || slice.stored > 0;
+  if (pool)
+    inside = !asks && !repeat && !is_dry(call.customer) && slice.stored > -slice.standing * plan.burst / 4;
+  if (call.due <= now) {
     give_up(id, terms_.permits.longest_advice);
   } else if (room_at_once && asks && now >= slice.next_ask) {
     take_for(id, call, slice);
   } else {
-    admit(id, inside && !asks, std::min((units - slice.stored) / std::max(slice.rate, 1e-3), 60.0));
+    admit(id, inside && room_at_once, (units - slice.stored) / std::max(slice.rate, 1e-3));
   }
   settle();
 }
@@ -717,7 +669,7 @@
   ApiCall& call = state.calls.at(id);
   const Plan& plan = terms_.plans[call.plan];
   if (!inside && !(plan.beyond_earns > plan.beyond_costs && strain() < 0.5))
-    return give_up(id, spanning(come_back));
+    return give_up(id, spanning(std::min(come_back, 60.0)));
   call.beyond = !inside;
   if (call.beyond) {
     call.rank = 0;  // behind all that is inside a quota
@@ -727,7 +679,9 @@
   state.to_judge.push_back(id);
 }
 
-void Choice::judge(CallId id) {
+void Choice::judge() {
+  const CallId id = state.to_judge.front();
+  state.to_judge.pop_front();
   const auto found = state.calls.find(id);
   if (found == state.calls.end()) return;
   ApiCall& call = found->second;
@@ -762,8 +716,7 @@
     const bool under =
         !call.tries.empty() || terms_.plans[call.plan].ceiling_rate <= 0 || slice.ceiling >= call.units;
     if (!under) {
-      give_up(id,
-              spanning((call.units - slice.ceiling) / std::max(terms_.plans[call.plan].ceiling_rate, 1e-3)));
+      give_up(id, spanning((call.units - slice.ceiling) / terms_.plans[call.plan].ceiling_rate));
     } else if (!leave_for(call).send ||
                now_ + spanning(state.routes[call.route].work * size_of(call)) > call.due) {
       // A wait can outlast what allowed the further try: the time in which its repeat is recalled.
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -67,7 +67,8 @@
   struct Rule;
   void hear(Span now);
   void settle();
-  void judge(CallId id);
+  void judge();
+  void wake_later();
   void act_on_agenda();
   void end_due();
   void send_waiting();
@@ -83,7 +84,7 @@
   void move(Slice& slice, double part);
   void admit(CallId id, bool inside, double come_back);
   void take_for(CallId id, const ApiCall& call, Slice& slice);
-  void take_for_ends(const CountCall& call, std::string_view name, bool passed, double total);
+  void take_for_ends(const CountCall& call, std::string_view name, double total);
   double part_asking(const ApiCall& call) const;
   double pooled(const Slice& slice) const;
   bool is_dry(const std::string& customer) const;
@@ -94,8 +95,8 @@
   double strain() const;
   void learn_pressure(bool answered, bool slow);
   bool let_through(const ApiCall& call);
-  Span advice(Span wish) const;
   Span next_wake() const;
+  std::int64_t round_of(const std::string& customer) const;
   Span shift_of(const std::string& customer) const;
   double size_of(const ApiCall& call) const;
   std::size_t waiting_limit() const;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -82,8 +82,8 @@
 struct CountCall {
   CountFor what = CountFor::gift;
   std::string customer;
-  double quanta = 0;  // of the quota, or units for an API call
-  CallId id = 0;      // of the API call that waits for the answer
+  double part = 0;  // of the quota, or units for an API call
+  CallId id = 0;    // of the API call that waits for the answer
   double amount = 0;
   Span asked{0};
 };
@@ -109,7 +109,6 @@
   std::set<std::pair<Span, CallId>> dues;
   std::set<std::pair<double, CallId>> waiting;  // best first
   std::deque<CallId> to_judge;
-  std::deque<std::string> short_of;
   std::set<WorkerId> list_named;
   ListKind list_kind = ListKind::cached;
   bool room_again = false;
