--- a/src/state.hpp
+++ b/src/state.hpp
@@ -121,8 +121,7 @@
   double quick = 1;  // how many of the tries of late ended in good time
   double slow = 0;   // how many of the answers of late were slow
   double open = 1;   // how many of the API calls are let through to the workers
-  double rank = 0;   // of an API call of late
-  double units = 0;  // the same
+  double units = 0;  // of an API call of late
   double asks = 1;   // how many of the API calls for which the counter could be asked do so
   std::unordered_map<std::uint32_t, Span> dry;  // customers whose pool is empty, until when
   std::deque<std::uint32_t> dry_ends;           // the same, oldest first
