--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -425,11 +425,11 @@
 
 bool Choice::pick(const ApiCall& call, WorkerId& chosen) {
   const std::size_t many = state.ready.size();
-  // Fewest own tries out for its size and pace; another zone counts as half a try where crossing has a price.
+  // Fewest own tries out for its size; another zone counts as half a try where crossing has a price.
   const auto load = [&](WorkerId id) {
     const Worker& worker = state.workers.at(id);
     const double far = terms_.cross_zone_price > 0 && worker.zone != terms_.zone ? 0.5 : 0;
-    return (worker.out + 1 + far) * worker.pace / worker.share;
+    return (worker.out + 1 + far) / worker.share;
   };
   const auto fits = [&](WorkerId id) {
     if (many > 1 && !call.tries.empty() && call.tries.back().worker == id) return false;
@@ -490,6 +490,12 @@
   state.open = std::clamp(state.open, 1.0 / 64, 1.0);
 }
 
+// Dear calls for their time are let through sooner.
+bool Choice::let_through(const ApiCall& call) {
+  const double dear = state.rank < 0 ? std::min(call.rank / state.rank, 4.0) : 1;
+  return state.chance() >= (1 - state.open) / std::max(dear, 1e-3) * double(state.chance.max());
+}
+
 double Choice::size_of(const ApiCall& call) const {
   return std::clamp(call.units / std::max(state.routes[call.route].units, 1e-3), 0.5, 4.0);
 }
@@ -511,8 +517,6 @@
   };
   if (outcome == Outcome::passed || outcome == Outcome::timed_out) {
     const double usual = seen.work > 0 ? seen.work : seconds(took) / size;
-    // A twentieth each: an answer's own work varies more than the worker does.
-    worker.pace += 0.05 * (std::min(seconds(took) / size / usual, 10.0) - worker.pace);
     worker.usual += 0.2 * (seconds(took) - worker.usual);
     if (outcome == Outcome::passed) {
       seen.work = usual + 0.02 * (seconds(took) / size - usual);
@@ -635,6 +639,7 @@
   // Billed value for the time it takes a worker goes first; the plan's factor is left out, so that a pressed
   // fleet does not fail one plan alone.
   call.rank = -route.billed_value * seen.units / std::max(seen.work, 1e-3);
+  if (seen.work > 0) state.rank += (state.rank < 0 ? 0.02 : 1) * (call.rank - state.rank);
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
   call.beyond = true;  // nothing is taken yet
   if (!room_at_once || slice.demand > slice.rate || slice.stored < 2 * units)
@@ -683,8 +688,7 @@
   };
   if (any(&UpstreamTry::out)) return;
   // No further try of what may have run while the fleet is pressed.
-  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.9) ||
-      state.chance() > state.open * double(state.chance.max()))
+  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.9) || !let_through(call))
     return give_up(id, terms_.permits.longest_advice);
   call.waiting = true;
   state.waiting.insert({call.rank, id});
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -94,6 +94,7 @@
   std::string pool_name(const std::string& customer, char kind) const;
   double strain() const;
   void learn_pressure(bool answered, bool slow);
+  bool let_through(const ApiCall& call);
   Span next_wake() const;
   std::int64_t round_of(const std::string& customer) const;
   Span shift_of(const std::string& customer) const;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -52,7 +52,6 @@
   double usual = 0;   // seconds that its tries took of late
   Span ended{0};      // when the last of them ended
   Span cut_at{0};     // when the window was last made smaller
-  double pace = 1;    // its times against its route's usual
   double cold_budget = 0;
   Span cold_at{0};
 };
@@ -121,7 +120,8 @@
   double quick = 1;  // how many of the tries of late ended in good time
   double slow = 0;   // how many of the answers of late were slow
   double open = 1;   // how many of the API calls are let through to the workers
-  double units = 0;  // of an API call of late
+  double rank = 0;   // of an API call of late
+  double units = 0;  // the same
   double asks = 1;   // how many of the API calls for which the counter could be asked do so
   std::unordered_map<std::uint32_t, Span> dry;  // customers whose pool is empty, until when
   std::deque<std::uint32_t> dry_ends;           // the same, oldest first
