--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -224,7 +224,7 @@
     slice.stored = std::max(slice.stored, 0.0) + had;
     state.dry.erase(key_of(call.customer));
   } else {
-    slice.next_ask = now_ + spanning(-left / (slice.standing * plan.rate));
+    slice.next_ask = now_ + spanning((least - there) / (slice.standing * plan.rate));
     if (!is_dry(call.customer)) tell_dry(call.customer, slice);
     note_dry(key_of(call.customer));
   }
@@ -425,11 +425,11 @@
 
 bool Choice::pick(const ApiCall& call, WorkerId& chosen) {
   const std::size_t many = state.ready.size();
-  // Fewest own tries out for its size; another zone counts as half a try where crossing has a price.
+  // Fewest own tries out for its size and pace; another zone counts as half a try where crossing has a price.
   const auto load = [&](WorkerId id) {
     const Worker& worker = state.workers.at(id);
     const double far = terms_.cross_zone_price > 0 && worker.zone != terms_.zone ? 0.5 : 0;
-    return (worker.out + 1 + far) / worker.share;
+    return (worker.out + 1 + far) * worker.pace / worker.share;
   };
   const auto fits = [&](WorkerId id) {
     if (many > 1 && !call.tries.empty() && call.tries.back().worker == id) return false;
@@ -517,6 +517,8 @@
   };
   if (outcome == Outcome::passed || outcome == Outcome::timed_out) {
     const double usual = seen.work > 0 ? seen.work : seconds(took) / size;
+    // A twentieth each: an answer's own work varies more than the worker does.
+    worker.pace += 0.05 * (std::min(seconds(took) / size / usual, 10.0) - worker.pace);
     worker.usual += 0.2 * (seconds(took) - worker.usual);
     if (outcome == Outcome::passed) {
       seen.work = usual + 0.02 * (seconds(took) / size - usual);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -52,6 +52,7 @@
   double usual = 0;   // seconds that its tries took of late
   Span ended{0};      // when the last of them ended
   Span cut_at{0};     // when the window was last made smaller
+  double pace = 1;    // its times against its route's usual
   double cold_budget = 0;
   Span cold_at{0};
 };
