Only a pool's first taker trims it whole, others by a burst at most

Cause: near a round's start several takers saw the same excess and each trimmed all of it, so the pool stood empty for up to half a minute while the quota was full. The first taker was also missed when the counter's seven digits rounded up.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -230,10 +230,11 @@
   }
   if (had < call.part) {
     count(name, {CountFor::giving_back, call.customer}, (had / call.part - 1) * call.amount);
-  } else if (left > full && (total <= call.amount || state.chance() % 4 == 0)) {
-    // What would fill the pool past the burst is lost. Its first taker says so, later one in four, as it
-    // costs a call and more than one may see the same.
-    count(name, {CountFor::giving_back, call.customer}, left - full);
+  } else if (const bool first =
+                 total<1.0001 * call.amount; left> full && (first || state.chance() % 4 == 0)) {
+    // What would fill the pool past the burst is lost. Its first taker says so at once, later one in four and
+    // of a burst at most, as it costs a call and others may say the same before it is counted.
+    count(name, {CountFor::giving_back, call.customer}, std::min(left - full, first ? left : full));
   }
 }
 
