--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -27,16 +27,13 @@
   return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
 }
 
-// A round is long, so that giving anew is rare; gifts and takes come all through it. Its names outlive it,
-// and the counter allows a minute.
-constexpr Span kRound = 48s;
-constexpr Span kLives = kRound + 10s;
+// A round is long, so that giving anew is rare; its names outlive it, and the counter allows a minute.
+constexpr Span kRound = 48s, kLives = kRound + 10s;
 // Surplus is looked for this often, a few times in the spells for which demand stays where it is.
 constexpr Span kBeat = 2s;
 // Demand is measured over about two beats: shorter sees single API calls, longer yesterday's gatekeeper.
 constexpr Span kMeasure = 4s;
-// A customer whose pool was found empty counts as such for longer than most bursts last, so that one that
-// asks too much for long is told of rarely.
+// A pool found empty counts as such for longer than most bursts last, so that it is told of rarely.
 constexpr Span kDry = 8s;
 // At most half a starting slice is given, so what it carries of the store is twice its own part: all of it.
 constexpr double kCarries = 2;
@@ -189,8 +186,8 @@
   slice.demand *= std::exp(-passed / seconds(kMeasure));
 }
 
-// The share of the quota that is taken from the standing pool: none while the counter is silent. What is not
-// there fills the local slices, so that their sum stays at the quota.
+// None is taken from the standing pool while the counter is silent: then it all fills the local slices, so
+// that their sum stays at the quota.
 double Choice::pooled(const Slice& slice) const {
   return now_ < state.counter_quiet_until ? 0 : slice.standing;
 }
@@ -204,7 +201,7 @@
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
   const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
   const double units = call.units + ahead - std::max(slice.stored, 0.0);
-  // Where only some calls ask, each takes for those that do not, which are let in until one finds no units.
+  // Where only some calls ask, each takes for those that do not.
   count(pool_name(call.customer, '+'), {CountFor::api_call, call.customer, units, id},
         is_dry(call.customer) ? units : units / part_asking(call));
 }
@@ -383,11 +380,9 @@
 // ---- Workers: whom to ask, how much, and for how long.
 
 double Choice::ramp(const Worker& worker) const {
-  const Promises& promises = terms_.promises;
-  const Span age = now_ - worker.started;
-  if (worker.started <= 0s || age >= promises.warm_after) return 1;
-  return promises.cold_share +
-         (1 - promises.cold_share) * std::max(0.0, seconds(age) / seconds(promises.warm_after));
+  const double age = seconds(now_ - worker.started) / std::max(seconds(terms_.promises.warm_after), 1e-3);
+  if (worker.started <= 0s || age >= 1) return 1;
+  return terms_.promises.cold_share + (1 - terms_.promises.cold_share) * std::max(0.0, age);
 }
 
 // A cold worker gets what a warm one gets from this gatekeeper, times the least share of its capacity that it
@@ -409,17 +404,15 @@
   if (worker.window < 1 && now_ < worker.ended + spanning((1 / worker.window - 1) * worker.usual))
     return false;
   if (ramp(worker) < 1) {
-    // Gatekeepers take turns at a fresh worker by their own number, one round of turns in each of the first
-    // two stated windows. Later the budget alone holds: turns besides left new workers idle through a long
-    // release.
+    // Gatekeepers take turns at a fresh worker by their own number in the first two stated windows. Later the
+    // budget alone holds: turns besides left new workers idle through a long release.
     const Span turn = std::max<Span>(terms_.promises.fall / std::max(1, terms_.gatekeepers), 1us);
     const bool fresh = now_ - worker.started < 2 * terms_.promises.fall;
     if (worker.cold_budget < 1 || (fresh && (now_ / turn) % terms_.gatekeepers != terms_.me)) return false;
   }
   const Leave leave = leave_for(call);
-  if (!leave.bound_to) return leave.send;
+  if (!leave.send || !leave.bound_to) return leave.send;
   const Scope scope = terms_.routes[call.route].scope;
-  if (!leave.send) return false;
   return scope == Scope::all || (scope == Scope::zone && worker.zone == leave.bound_to->zone) ||
          (scope == Scope::cell && worker.cell == leave.bound_to->cell);
 }
@@ -503,12 +496,13 @@
 
 void Choice::learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took) {
   // A call of more units is taken to be as much more work, so its long answer says nothing of the worker.
-  const double size = size_of(call);
-  const double share = seconds(took) / seconds(terms_.routes[call.route].latency_target) / size;
+  const double size = size_of(call), target = seconds(terms_.routes[call.route].latency_target);
+  const double share = seconds(took) / target / size;
   RouteSeen& seen = state.routes[call.route];
   const double before = worker.window;
   worker.ended = now_;
-  if (now_ - took < state.back_at) return;
+  const bool no_sign = outcome == Outcome::cancelled || outcome == Outcome::not_sent;
+  if (no_sign || now_ - took < state.back_at) return;
   const auto shrink = [&](double factor) {
     // Once for each answer time, as all that is out suffers from the same line.
     if (now_ - worker.cut_at < took) return;
@@ -516,41 +510,35 @@
     worker.window = std::max(1.0 / 64, worker.window * factor);
     worker.cut_at = now_;
   };
-  if (outcome == Outcome::passed || outcome == Outcome::timed_out) {
-    const double usual = seen.work > 0 ? seen.work : seconds(took) / size;
+  const bool passed = outcome == Outcome::passed, full = outcome == Outcome::no_room;
+  const bool timed_out = outcome == Outcome::timed_out;
+  const double usual = seen.work > 0 ? seen.work : seconds(took) / size;
+  if (passed || timed_out) {
     // A twentieth each: an answer's own work varies more than the worker does.
     worker.pace += 0.05 * (std::min(seconds(took) / size / usual, 10.0) - worker.pace);
     worker.usual += 0.2 * (seconds(took) - worker.usual);
-    if (outcome == Outcome::passed) {
-      seen.work = usual + 0.02 * (seconds(took) / size - usual);
-      // The least the mean has been, forgotten so slowly that a minute of jam does not pass for calm.
-      seen.calm = seen.calm > 0 ? std::min(seen.calm * 1.0001, seen.work) : seen.work;
-    }
   }
-  if (outcome == Outcome::passed) {
+  if (passed) {
+    seen.work = usual + 0.02 * (seconds(took) / size - usual);
+    // The least the mean has been, forgotten so slowly that a minute of jam does not pass for calm.
+    seen.calm = seen.calm > 0 ? std::min(seen.calm * 1.0001, seen.work) : seen.work;
     seen.latency.add(share, 400);  // halved at a few hundred: a minute's traffic, a tenth of a bin's noise
     worker.misses = 0;
     // One answer in a hundred takes some five times the mean by its own work, so a mean over a fifth of the
     // target makes late answers. Routes with more work than that go by their calm times.
-    const double calm = seen.calm / seconds(terms_.routes[call.route].latency_target);
-    const double near = std::max(0.22, 1.75 * calm);
-    if (worker.window < 1) {
-      if (share < near) worker.window = std::min(1.0, 2 * worker.window);
-    } else if (share < std::max(0.12, calm) && worker.out + 1 >= worker.window) {
+    const double calm = seen.calm / target, near = std::max(0.22, 1.75 * calm);
+    if (worker.window < 1 && share < near)
+      worker.window = std::min(1.0, 2 * worker.window);
+    else if (share < std::max(0.12, calm) && worker.out + 1 >= worker.window)
       worker.window += 1 / worker.window;
-    }
     if (share > near) shrink(0.8);
     learn_pressure(true, share > std::max(0.5, near));
-  } else if (outcome == Outcome::no_room) {
-    shrink(0.5);
-    learn_pressure(false, true);
-  } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
-    shrink(outcome == Outcome::timed_out ? 0.5 : 0.8);
-    if (outcome == Outcome::timed_out) learn_pressure(false, true);
+  } else {
+    shrink(timed_out || full ? 0.5 : 0.8);
+    if (timed_out || full) learn_pressure(false, true);
     // Three bad ends in a row of any kind, or two without a connection: set aside, with a trickle that
-    // doubles while it goes well. For hung, silent, dead and failing workers alike, and for a fleet that is
-    // pressed.
-    worker.misses += outcome == Outcome::no_route ? 2 : 1;
+    // doubles while it goes well. For hung, silent, dead and failing workers alike.
+    worker.misses += full ? 0 : outcome == Outcome::no_route ? 2 : 1;
     if (worker.misses >= 3) worker.window = std::min(worker.window, 1.0 / 8);
   }
   if (worker.phase == Phase::ready) state.room += worker.window - before;
@@ -714,10 +702,9 @@
     Slice& slice = slice_of(call.customer, call.plan, 1);
     refill(slice);
     WorkerId worker = 0;
-    const bool under =
-        !call.tries.empty() || terms_.plans[call.plan].ceiling_rate <= 0 || slice.ceiling >= call.units;
-    if (!under) {
-      give_up(id, spanning((call.units - slice.ceiling) / terms_.plans[call.plan].ceiling_rate));
+    const double ceiling = terms_.plans[call.plan].ceiling_rate;
+    if (call.tries.empty() && ceiling > 0 && slice.ceiling < call.units) {
+      give_up(id, spanning((call.units - slice.ceiling) / ceiling));
     } else if (!leave_for(call).send ||
                now_ + spanning(state.routes[call.route].work * size_of(call)) > call.due) {
       // A wait can outlast what allowed the further try: the time in which its repeat is recalled.
