--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -694,8 +694,7 @@
 
 void Choice::send_waiting() {
   state.room_again = false;
-  int misses = 0;
-  for (auto at = state.waiting.begin(); at != state.waiting.end() && misses < 4;) {
+  for (auto at = state.waiting.begin(); at != state.waiting.end();) {
     const CallId id = at->second;
     ++at;
     ApiCall& call = state.calls.at(id);
@@ -712,7 +711,7 @@
     } else if (pick(call, worker)) {
       send_to(id, call, worker);
     } else {
-      ++misses;
+      give_up(id, terms_.permits.longest_advice);
     }
   }
 }
