--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -603,12 +603,6 @@
   const Route& route = terms_.routes[route_at];
   const Plan& plan = terms_.plans[plan_at];
   RouteSeen& seen = state.routes[route_at];
-  // A repeat that has other than a first try's time left runs to its client's own time-out, which tells how
-  // long ago the first try was; what is past its latency target earns nothing any more. Where it has the
-  // same, it is younger than that: half is assumed.
-  if (!repeat) seen.first_left = std::max(seen.first_left, left);
-  const int sure = std::chrono::abs(left - seen.first_left) > 10ms ? 1 : 2;
-  const Span spent = repeat ? std::max(Span(0), route.client_timeout - left) / sure : Span(0);
   ApiCall& call = state.calls[id];
   call.route = route_at;
   call.plan = plan_at;
@@ -616,7 +610,7 @@
   call.units = units;
   const Span margin = 3 * terms_.tick;
   call.due = now + left - margin;
-  if (route.late_share <= 0) call.due = std::min(call.due, now + route.latency_target - spent - margin);
+  if (route.late_share <= 0) call.due = std::min(call.due, now + route.latency_target - margin);
   state.dues.insert({call.due, id});
 
   Slice& slice = slice_of(customer, plan_at, spread);
@@ -694,7 +688,8 @@
 
 void Choice::send_waiting() {
   state.room_again = false;
-  for (auto at = state.waiting.begin(); at != state.waiting.end();) {
+  int misses = 0;
+  for (auto at = state.waiting.begin(); at != state.waiting.end() && misses < 4;) {
     const CallId id = at->second;
     ++at;
     ApiCall& call = state.calls.at(id);
@@ -711,7 +706,7 @@
     } else if (pick(call, worker)) {
       send_to(id, call, worker);
     } else {
-      give_up(id, terms_.permits.longest_advice);
+      ++misses;
     }
   }
 }
