--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -299,7 +299,7 @@
   const double spare = std::min((slice.rate - slice.demand - slice.start / 2) / plan.rate,
                                 (slice.stored - slice.units) / std::max(kCarries * plan.burst, 1e-3));
   // A gift under a fifth of the starting slice is not worth its calls.
-  if (spare < 0.2 * slice.share) return;
+  if (spare < 2) return;
   move(slice, -spare);
   count(pool_name(customer, ':'), {CountFor::gift, customer, spare}, spare);
 }
@@ -313,7 +313,7 @@
   // Short of demand in rate, or of the next two API calls' units in store, whichever is more.
   const double need = std::max((std::min(slice.demand, plan.rate) - slice.rate) / plan.rate,
                                (2 * slice.units - slice.stored) / std::max(kCarries * plan.burst, 1e-3));
-  if (need < 0.1 * slice.share) return;
+  if (need < 1e9) return;
   slice.asked = std::min(need, 1.0);
   count(pool_name(customer, ':'), {CountFor::take, customer, slice.asked}, -slice.asked);
 }
@@ -603,6 +603,12 @@
   const Route& route = terms_.routes[route_at];
   const Plan& plan = terms_.plans[plan_at];
   RouteSeen& seen = state.routes[route_at];
+  // A repeat that has other than a first try's time left runs to its client's own time-out, which tells how
+  // long ago the first try was; what is past its latency target earns nothing any more. Where it has the
+  // same, it is younger than that: half is assumed.
+  if (!repeat) seen.first_left = std::max(seen.first_left, left);
+  const int sure = std::chrono::abs(left - seen.first_left) > 10ms ? 1 : 2;
+  const Span spent = repeat ? std::max(Span(0), route.client_timeout - left) / sure : Span(0);
   ApiCall& call = state.calls[id];
   call.route = route_at;
   call.plan = plan_at;
@@ -610,7 +616,7 @@
   call.units = units;
   const Span margin = 3 * terms_.tick;
   call.due = now + left - margin;
-  if (route.late_share <= 0) call.due = std::min(call.due, now + route.latency_target - margin);
+  if (route.late_share <= 0) call.due = std::min(call.due, now + route.latency_target - spent - margin);
   state.dues.insert({call.due, id});
 
   Slice& slice = slice_of(customer, plan_at, spread);
