Surplus goes as units to the one pool, beat by beat

Gatekeepers give what their slice fills beyond demand and headroom to the pool that short ones take from; no second pool, no moved rates, nothing to take back.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -35,9 +35,6 @@
 constexpr Span kMeasure = 4s;
 // A pool found empty counts as such for longer than most bursts last, so that it is told of rarely.
 constexpr Span kDry = 8s;
-// At most half a starting slice is given, so what it carries of the store is twice its own part: all of it.
-constexpr double kCarries = 2;
-
 }  // namespace
 
 struct Choice::Rule {
@@ -158,8 +155,7 @@
   const Plan& plan = terms_.plans[plan_at];
   slice.plan = plan_at;
   slice.share = 1.0 / std::max(1, spread);
-  slice.rate = slice.start = plan.rate * slice.share;
-  slice.round = round_of(found->first);
+  slice.rate = plan.rate * slice.share;
   // What a slice lacks of storing large API calls lets none in by itself. That part of every slice stands in
   // a pool of units from the start, and calls that the store does not cover take from it. Eight largest
   // calls' worth of store is halfway: there slices still refuse what others have room for.
@@ -202,7 +198,7 @@
   const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
   const double units = call.units + ahead - std::max(slice.stored, 0.0);
   // Where only some calls ask, each takes for those that do not.
-  count(pool_name(call.customer, '+'), {CountFor::api_call, call.customer, units, id},
+  count(pool_name(call.customer), {CountFor::api_call, call.customer, units, id},
         is_dry(call.customer) ? units : units / part_asking(call));
 }
 
@@ -216,7 +212,7 @@
   const auto held = state.calls.find(call.id);
   const double least = held == state.calls.end() ? 0 : held->second.units - std::max(slice.stored, 0.0);
   const double there = left + call.amount;
-  const double had = there >= call.part ? call.part : there >= least ? least : 0;
+  const double had = there >= call.units ? call.units : there >= least ? least : 0;
   if (had > 0) {
     slice.stored = std::max(slice.stored, 0.0) + had;
     state.dry.erase(key_of(call.customer));
@@ -225,8 +221,8 @@
     if (!is_dry(call.customer)) tell_dry(call.customer, slice);
     note_dry(key_of(call.customer));
   }
-  if (had < call.part) {
-    count(name, {CountFor::giving_back, call.customer}, (had / call.part - 1) * call.amount);
+  if (had < call.units) {
+    count(name, {CountFor::giving_back, call.customer}, (had / call.units - 1) * call.amount);
   } else if (const bool first =
                  total<1.0001 * call.amount; left> full && (first || state.chance() % 4 == 0)) {
     // What would fill the pool past the burst is lost. Its first taker says so at once, later one in four and
@@ -263,13 +259,9 @@
   }
 }
 
-// Rates and units have a name each for every round.
-std::string Choice::pool_name(const std::string& customer, char kind) const {
-  return customer + kind + std::to_string(round_of(customer));
-}
-
-std::int64_t Choice::round_of(const std::string& customer) const {
-  return (now_ + shift_of(customer)) / kRound;
+// A pool has a name for each round.
+std::string Choice::pool_name(const std::string& customer) const {
+  return customer + ":" + std::to_string((now_ + shift_of(customer)) / kRound);
 }
 
 // Rounds of different customers start at different times, the same at all gatekeepers, so that the counter's
@@ -278,44 +270,18 @@
   return Span(static_cast<std::int64_t>(sum_of(customer) >> 20) % kRound.count());
 }
 
-// Slice and the stored units that belong to it, as a part of the customer's quota.
-void Choice::move(Slice& slice, double part) {
-  const Plan& plan = terms_.plans[slice.plan];
-  slice.rate += part * plan.rate;
-  slice.stored += kCarries * part * plan.burst;
-}
-
+// Surplus: what the slice fills in a beat beyond demand and a headroom of half of it, but for one call's
+// units.
 void Choice::give_surplus(const std::string& customer, Slice& slice) {
   // While the counter is silent slices stay put.
   if (now_ < state.counter_quiet_until) return;
   refill(slice);
-  // At a round's end every slice goes back to its start: givers take back what they gave, and a sum that a
-  // lost pool or a restart made wrong is right again.
-  if (round_of(customer) != slice.round) slice.rate = slice.start;
-  slice.round = round_of(customer);
-  const Plan& plan = terms_.plans[slice.plan];
-  // The headroom is half the starting slice. Stored units go with the slice that holds them, but for one API
-  // call's, so that the taker can use at once what the giver would have had to spare.
-  const double spare = std::min((slice.rate - slice.demand - slice.start / 2) / plan.rate,
-                                (slice.stored - slice.units) / std::max(kCarries * plan.burst, 1e-3));
-  // A gift under a fifth of the starting slice is not worth its calls.
-  if (spare < 2) return;
-  move(slice, -spare);
-  count(pool_name(customer, ':'), {CountFor::gift, customer, spare}, spare);
-}
-
-void Choice::take_from_pool(const std::string& customer, Slice& slice) {
-  if (now_ < slice.next_take || slice.asked > 0 || slice.round != round_of(customer)) return;
-  if (now_ < state.counter_quiet_until || slice.standing <= 0) return;
-  const Plan& plan = terms_.plans[slice.plan];
-  // Starting slices that store less than one call's units have nothing to give: no call is spent on asking.
-  if (plan.burst * slice.share * (1 - slice.standing) < slice.units) return;
-  // Short of demand in rate, or of the next two API calls' units in store, whichever is more.
-  const double need = std::max((std::min(slice.demand, plan.rate) - slice.rate) / plan.rate,
-                               (2 * slice.units - slice.stored) / std::max(kCarries * plan.burst, 1e-3));
-  if (need < 1e9) return;
-  slice.asked = std::min(need, 1.0);
-  count(pool_name(customer, ':'), {CountFor::take, customer, slice.asked}, -slice.asked);
+  const double spare = std::min((slice.rate * (1 - slice.standing) / 2 - slice.demand) * seconds(kBeat),
+                                slice.stored - slice.units);
+  // A gift under a tenth of the burst is not worth its call.
+  if (spare < terms_.plans[slice.plan].burst / 10) return;
+  slice.stored -= spare;
+  count(pool_name(customer), {CountFor::gift, customer, spare}, -spare);
 }
 
 void Choice::count(std::string_view name, CountCall call, double amount) {
@@ -349,18 +315,10 @@
     const auto held = state.calls.find(call.id);
     if (held != state.calls.end())
       admit(call.id, slice.stored >= (passed ? held->second.units : 1e-6), seconds(slice.next_ask - now));
-  } else if (call.what == CountFor::gift) {
-    // Only what is known never to have been added comes back; a gift that may have been is gone.
-    if (outcome == Outcome::no_room || outcome == Outcome::no_route) move(slice, call.part);
-  } else if (call.what == CountFor::take) {
-    slice.asked = 0;
-    const double over = passed ? std::clamp(-total, 0.0, call.part) : call.part;
-    move(slice, call.part - over);
-    if (passed && over > 0) count(name, {CountFor::giving_back, call.customer}, over);
-    // An empty pool is asked again half a second later, then after twice that, up to half a round.
-    slice.take_pause = over < call.part ? Span(0) : std::clamp<Span>(2 * slice.take_pause, 500ms, kRound / 2);
-    slice.next_take = now + (over > 0 ? std::max<Span>(slice.take_pause, 500ms) : Span(0));
   }
+  // Only what is known never to have been added comes back; a gift that may have been is gone.
+  if (call.what == CountFor::gift && (outcome == Outcome::no_room || outcome == Outcome::no_route))
+    slice.stored += call.units;
   settle();
 }
 
@@ -633,8 +591,6 @@
   if (seen.work > 0) state.rank += (state.rank < 0 ? 0.02 : 1) * (call.rank - state.rank);
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
   call.beyond = true;  // nothing is taken yet
-  if (!room_at_once || slice.demand > slice.rate || slice.stored < 2 * units)
-    take_from_pool(call.customer, slice);
   // A call that the store does not cover asks the pool, as far as the counter takes calls. Repeats do not:
   // what was rate-limited would be asked about over and over. The rest passes unless the pool is known to be
   // empty, until a gatekeeper has let in a quarter of the burst since it last took.
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -58,7 +58,6 @@
   Slice& slice_of(std::string_view customer, std::size_t plan, int spread);
   void refill(Slice& slice);
   void give_surplus(const std::string& customer, Slice& slice);
-  void take_from_pool(const std::string& customer, Slice& slice);
   void learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took);
 
   State state;
@@ -81,7 +80,6 @@
   void give_up(CallId id, Span come_back);
   void cancel_rest(CallId id, const ApiCall& call);
   void forget(CallId id);
-  void move(Slice& slice, double part);
   void admit(CallId id, bool inside, double come_back);
   void take_for(CallId id, const ApiCall& call, Slice& slice);
   void take_for_ends(const CountCall& call, std::string_view name, double total);
@@ -91,12 +89,11 @@
   void note_dry(std::uint32_t key);
   void tell_dry(const std::string& customer, const Slice& slice);
   void count(std::string_view name, CountCall call, double amount);
-  std::string pool_name(const std::string& customer, char kind) const;
+  std::string pool_name(const std::string& customer) const;
   double strain() const;
   void learn_pressure(bool answered, bool slow);
   bool let_through(const ApiCall& call);
   Span next_wake() const;
-  std::int64_t round_of(const std::string& customer) const;
   Span shift_of(const std::string& customer) const;
   double size_of(const ApiCall& call) const;
   std::size_t waiting_limit() const;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -59,8 +59,7 @@
 
 struct Slice {
   std::size_t plan = 0;
-  double start = 0;  // the quota over the customer's gatekeepers
-  double rate = 0;   // the slice, units a second
+  double rate = 0;  // the slice, units a second
   double stored = 0;
   double demand = 0;  // units asked for a second, of late
   double ceiling = 0;
@@ -71,19 +70,15 @@
   int out = 0;
   Span filled{0};
   Span seen{0};
-  std::int64_t round = -1;  // in which it last moved
-  double asked = 0;         // of the quota, not yet answered
-  Span next_ask{0};         // of the pool of units
-  Span next_take{0};
-  Span take_pause{0};
+  Span next_ask{0};  // of the pool of units
 };
 
-enum class CountFor { gift, take, giving_back, api_call };
+enum class CountFor { gift, giving_back, api_call };
 struct CountCall {
   CountFor what = CountFor::gift;
   std::string customer;
-  double part = 0;  // of the quota, or units for an API call
-  CallId id = 0;    // of the API call that waits for the answer
+  double units = 0;  // given, or taken
+  CallId id = 0;     // of the API call that waits for the answer
   double amount = 0;
   Span asked{0};
 };
