--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -328,10 +328,9 @@
   if (duty == Duty::ask_for_list) return effects_.subscribe(true);
   const auto found = state.slices.find(customer);
   if (found == state.slices.end()) return;
-  Slice& slice = found->second;
   // Unseen for a round, a customer is dropped.
-  if (now_ - slice.seen > kRound) return void(state.slices.erase(found));
-  give_surplus(customer, slice);
+  if (now_ - found->second.seen > kRound) return void(state.slices.erase(found));
+  give_surplus(customer, found->second);
   state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, customer));
 }
 
@@ -348,8 +347,8 @@
 void Choice::fill_cold(Worker& worker) const {
   const double warm = ramp(worker);
   if (warm >= 1) return;
-  // One in two seconds at the least, so that a gatekeeper that has just started finds out about it at all.
-  const double rate = std::max(0.5, state.send_rate) * warm;
+  // A gatekeeper that has just started finds out about it too: all of them by four sends a second at most.
+  const double rate = std::max(4.0 / std::max(8, terms_.gatekeepers), state.send_rate) * warm;
   const double most = std::max(1.0, rate * seconds(terms_.promises.fall));
   worker.cold_budget = std::min(most, worker.cold_budget + rate * seconds(now_ - worker.cold_at));
   worker.cold_at = now_;
