--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -103,8 +103,7 @@
   if (first_run && route.repeat == Repeat::tokened) {
     leave.bound_to = first_run;
     // Two ticks and the way there: a repeat must reach the worker while it still recalls the first.
-    leave.send_until = first_run->sent + route.recall - 2 * terms_.tick - 10ms;
-    if (now_ >= leave.send_until) leave.send = false;
+    if (now_ >= first_run->sent + route.recall - 2 * terms_.tick - 10ms) leave.send = false;
     if (route.scope != Scope::all) leave.rate_limit = false;
   }
   return leave;
@@ -117,7 +116,6 @@
     // No answer by now tells of the worker as a time-out would: hung, silent, slow or lost on the way.
     if (one.out) learn(state.workers[one.worker], call, Outcome::timed_out, now_ - one.sent);
   }
-  cancel_rest(id, call);
   const Span longest = terms_.permits.advice ? terms_.permits.longest_advice : Span(0);
   if (leave.rate_limit) effects_.rate_limit(id, std::clamp(come_back, Span(0), longest));
   if (!leave.rate_limit) effects_.error(id);
@@ -126,18 +124,14 @@
   forget(id);
 }
 
-void Choice::cancel_rest(CallId id, const ApiCall& call) {
-  for (std::size_t i = 0; i < call.tries.size(); ++i) {
-    if (call.tries[i].out && terms_.permits.cancel) effects_.cancel(id, i);
-  }
-}
-
 void Choice::forget(CallId id) {
   ApiCall& call = state.calls.at(id);
   stop_waiting(id, call);
   const auto slice = state.slices.find(call.customer);
-  for (const UpstreamTry& one : call.tries) {
-    if (one.out && slice != state.slices.end()) --slice->second.out;
+  for (std::size_t i = 0; i < call.tries.size(); ++i) {
+    if (!call.tries[i].out) continue;
+    if (terms_.permits.cancel) effects_.cancel(id, i);
+    if (slice != state.slices.end()) --slice->second.out;
   }
   state.dues.erase({call.due, id});
   state.calls.erase(id);
@@ -489,7 +483,7 @@
     else if (share < std::max(0.12, calm) && worker.out + 1 >= worker.window)
       worker.window += 1 / worker.window;
     if (share > near) shrink(0.8);
-    learn_pressure(true, share > std::max(0.5, near));
+    learn_pressure(true, share > 0.5);
   } else {
     shrink(timed_out || full ? 0.5 : 0.8);
     if (timed_out || full) learn_pressure(false, true);
@@ -712,22 +706,14 @@
     slice->second.stored -= true_units - call.units;
     slice->second.demand += (true_units - call.units) / seconds(kMeasure);
   }
-  if (finished) {
-    cancel_rest(id, call);
-    forget(id);
-  } else {
-    state.to_judge.push_back(id);
-  }
+  if (finished) forget(id);
+  if (!finished) state.to_judge.push_back(id);
   settle();
 }
 
 void Choice::client_leaves(Span now, CallId id) {
   hear(now);
-  const auto found = state.calls.find(id);
-  if (found != state.calls.end()) {
-    cancel_rest(id, found->second);
-    forget(id);
-  }
+  if (state.calls.contains(id)) forget(id);
   settle();
 }
 
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -30,7 +30,6 @@
   bool send = true;
   bool rate_limit = true;
   const UpstreamTry* bound_to = nullptr;  // a further try must reach a worker that drops this one's repeats
-  Span send_until = Span::max();
 };
 
 class Choice {
@@ -57,6 +56,8 @@
   bool may_take(const ApiCall& call, WorkerId id) const;
   Slice& slice_of(std::string_view customer, std::size_t plan, int spread);
   void refill(Slice& slice);
+  void take_for_ends(const CountCall& call, std::string_view name, double total);
+  void fill_cold(Worker& worker) const;
   void give_surplus(const std::string& customer, Slice& slice);
   void learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took);
 
@@ -75,14 +76,11 @@
   void stop_waiting(CallId id, ApiCall& call);
   bool pick(const ApiCall& call, WorkerId& chosen);
   double ramp(const Worker& worker) const;
-  void fill_cold(Worker& worker) const;
   void send_to(CallId id, ApiCall& call, WorkerId worker);
   void give_up(CallId id, Span come_back);
-  void cancel_rest(CallId id, const ApiCall& call);
   void forget(CallId id);
   void admit(CallId id, bool inside, double come_back);
   void take_for(CallId id, const ApiCall& call, Slice& slice);
-  void take_for_ends(const CountCall& call, std::string_view name, double total);
   double part_asking(const ApiCall& call) const;
   double pooled(const Slice& slice) const;
   bool is_dry(const std::string& customer) const;
