Settled units count in full; unasked calls count apart

Cause: a store below nought by settled units was forgotten at the next take, one above was used, so true units ran ahead.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -190,7 +190,7 @@
 // An API call that the store does not cover waits for the answer, for its units and a second's demand.
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
   const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
-  const double units = call.units + ahead - std::max(slice.stored, 0.0);
+  const double units = std::max(call.units + ahead - slice.stored, 1e-3);
   // Where only some calls ask, each takes for those that do not.
   count(pool_name(call.customer), {CountFor::api_call, call.customer, units, id},
         is_dry(call.customer) ? units : units / part_asking(call));
@@ -204,11 +204,12 @@
   const double left = full + slice.standing * plan.rate * into - total;
   // Where the pool does not hold it all, what the API call itself needs.
   const auto held = state.calls.find(call.id);
-  const double least = held == state.calls.end() ? 0 : held->second.units - std::max(slice.stored, 0.0);
+  const double least = held == state.calls.end() ? 0 : held->second.units - slice.stored;
   const double there = left + call.amount;
   const double had = there >= call.units ? call.units : there >= least ? least : 0;
   if (had > 0) {
-    slice.stored = std::max(slice.stored, 0.0) + had;
+    slice.stored += had;
+    slice.unasked = 0;
     state.dry.erase(key_of(call.customer));
   } else {
     slice.next_ask = now_ + spanning((least - there) / (slice.standing * plan.rate));
@@ -590,8 +591,11 @@
   const bool pool = pooled(slice) > 0 && slice.stored < units;
   const bool asks = pool && !repeat && state.chance() <= part_asking(call) * double(state.chance.max());
   bool inside = plan.rate <= 0 || slice.stored > 0;
-  if (pool)
-    inside = !asks && !repeat && !is_dry(call.customer) && slice.stored > -slice.standing * plan.burst / 4;
+  if (pool) {
+    inside = !asks && !repeat && !is_dry(call.customer) && slice.unasked < slice.standing * plan.burst / 4;
+    if (inside) slice.unasked += units;
+    if (inside) slice.stored += units;  // those that ask take for it
+  }
   if (call.due <= now) {
     give_up(id, terms_.permits.longest_advice);
   } else if (room_at_once && asks && now >= slice.next_ask) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -67,6 +67,7 @@
   double share = 1;     // one over the customer's gatekeepers
   double standing = 0;  // the part of the quota that stands in the pool of units
   double units = 0;     // of its usual API call
+  double unasked = 0;   // units let in without asking since the last take
   int out = 0;
   Span filled{0};
   Span seen{0};
