--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -707,8 +707,13 @@
   }
   if (outcome == Outcome::passed && terms_.units_settle && true_units > 0 && !call.beyond &&
       slice != state.slices.end()) {
-    slice->second.stored -= true_units - call.units;
-    slice->second.demand += (true_units - call.units) / seconds(kMeasure);
+    const double more = true_units - call.units;
+    slice->second.demand += more / seconds(kMeasure);
+    // Where the quota is used up the pool hears of it at once: this gatekeeper may take no more for long.
+    if (pooled(slice->second) > 0 && is_dry(call.customer))
+      count(pool_name(call.customer), {CountFor::giving_back, call.customer}, more);
+    else
+      slice->second.stored -= more;
   }
   if (finished) forget(id);
   if (!finished) state.to_judge.push_back(id);
