--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -220,7 +220,7 @@
     count(name, {CountFor::giving_back, call.customer}, (had / call.units - 1) * call.amount);
   } else if (const bool first =
                  total<1.0001 * call.amount; left> full &&
-                 (first || state.chance() * full < (left - full) * double(state.chance.max()))) {
+                 (first || state.chance() * full < 3 * (left - full) * double(state.chance.max()))) {
     // What would fill the pool past the burst is lost. Its first taker says so at once, later ones the sooner
     // the more it is and of a burst at most, as it costs a call and others may say the same meanwhile.
     count(name, {CountFor::giving_back, call.customer}, std::min(left - full, first ? left : full));
