--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -220,7 +220,7 @@
     count(name, {CountFor::giving_back, call.customer}, (had / call.units - 1) * call.amount);
   } else if (const bool first =
                  total<1.0001 * call.amount; left> full &&
-                 (first || state.chance() * full < 3 * (left - full) * double(state.chance.max()))) {
+                 (first || state.chance() * full < (left - full) * double(state.chance.max()))) {
     // What would fill the pool past the burst is lost. Its first taker says so at once, later ones the sooner
     // the more it is and of a burst at most, as it costs a call and others may say the same meanwhile.
     count(name, {CountFor::giving_back, call.customer}, std::min(left - full, first ? left : full));
@@ -414,7 +414,7 @@
   // all answers need, no less than ordinary slow ones. A pressed fleet gets the whole time.
   const double share = std::max(0.3, 3 * seen.latency.at(0.95) * size_of(call));
   Span limit = call.due - now_;
-  if (route.repeat != Repeat::non_idempotent && strain() < 0.7 && share < 0.65) {
+  if (route.repeat != Repeat::non_idempotent && strain() < 0.3 && share < 0.65) {
     limit = std::min(limit, spanning(share * seconds(route.latency_target)));
   }
   effects_.send(id, to, limit);
@@ -633,7 +633,7 @@
   };
   if (any(&UpstreamTry::out)) return;
   // No further try of what may have run while the fleet is pressed.
-  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.9) || !let_through(call))
+  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.5) || !let_through(call))
     return give_up(id, terms_.permits.longest_advice);
   call.waiting = true;
   state.waiting.insert({call.rank, id});
