--- a/src/state.hpp
+++ b/src/state.hpp
@@ -41,6 +41,7 @@
 };
 
 struct Worker {
+  WorkerId id = 0;
   std::string zone;
   std::int64_t cell = 0;
   double share = 1;
@@ -53,6 +54,8 @@
   Span ended{0};      // when the last of them ended
   Span cut_at{0};     // when the window was last made smaller
   double pace = 1;    // its times against its route's usual
+  double blame = 0;   // bad ends of late, those that other gatekeepers told of too
+  Span blamed_at{0};
   double cold_budget = 0;
   Span cold_at{0};
 };
@@ -123,6 +126,7 @@
   std::unordered_map<std::uint32_t, Span> dry;  // customers whose pool is empty, until when
   std::deque<std::uint32_t> dry_ends;           // the same, oldest first
   Span next_tell{0};
+  Span next_blame{0};
   Span counter_rest{0};
   Span counter_quiet_until{0};
   double send_rate = 0;  // own sends a second to one warm worker
