--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -376,7 +376,10 @@
   const auto load = [&](WorkerId id) {
     const Worker& worker = state.workers.at(id);
     const double far = terms_.cross_zone_price > 0 && worker.zone != terms_.zone ? 0.5 : 0;
-    return (worker.out + 1 + far) * worker.pace * (1 + blame(worker)) / worker.share;
+    // Blamed far above the mean: chance alone blames some twice as much, and all would turn from them at
+    // once.
+    const bool blamed = blame(worker.blamed) > 3 * (1 + blame(state.blamed) / static_cast<double>(many));
+    return (worker.out + 1 + far) * worker.pace * (blamed ? 4 : 1) / worker.share;
   };
   const auto fits = [&](WorkerId id) {
     if (many > 1 && !call.tries.empty() && call.tries.back().worker == id) return false;
@@ -453,13 +456,13 @@
   effects_.tell_all(std::to_string(worker.id) + "w");
 }
 
-double Choice::blame(const Worker& worker) const {
-  return worker.blame * std::exp(-seconds(now_ - worker.blamed_at) / seconds(kDry));
+double Choice::blame(const Blame& blame) const {
+  return blame.ends * std::exp(-seconds(now_ - blame.at) / seconds(kDry));
 }
 
 void Choice::add_blame(Worker& worker) {
-  worker.blame = 1 + blame(worker);
-  worker.blamed_at = now_;
+  worker.blamed = {1 + blame(worker.blamed), now_};
+  state.blamed = {1 + blame(state.blamed), now_};
 }
 
 double Choice::size_of(const ApiCall& call) const {
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -95,7 +95,7 @@
   Span shift_of(const std::string& customer) const;
   void tell_blame(Worker& worker);
   void add_blame(Worker& worker);
-  double blame(const Worker& worker) const;
+  double blame(const Blame& blame) const;
   double size_of(const ApiCall& call) const;
   std::size_t waiting_limit() const;
 
