--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -220,7 +220,7 @@
     count(name, {CountFor::giving_back, call.customer}, (had / call.units - 1) * call.amount);
   } else if (const bool first =
                  total<1.0001 * call.amount; left> full &&
-                 (first || state.chance() * full < 3 * (left - full) * double(state.chance.max()))) {
+                 (first || state.chance() * full < (left - full) * double(state.chance.max()))) {
     // What would fill the pool past the burst is lost. Its first taker says so at once, later ones the sooner
     // the more it is and of a burst at most, as it costs a call and others may say the same meanwhile.
     count(name, {CountFor::giving_back, call.customer}, std::min(left - full, first ? left : full));
@@ -376,10 +376,7 @@
   const auto load = [&](WorkerId id) {
     const Worker& worker = state.workers.at(id);
     const double far = terms_.cross_zone_price > 0 && worker.zone != terms_.zone ? 0.5 : 0;
-    // Blamed far above the mean: chance alone blames some twice as much, and all would turn from them at
-    // once.
-    const bool blamed = blame(worker.blamed) > 3 * (1 + blame(state.blamed) / static_cast<double>(many));
-    return (worker.out + 1 + far) * worker.pace * (blamed ? 4 : 1) / worker.share;
+    return (worker.out + 1 + far) * worker.pace / worker.share;
   };
   const auto fits = [&](WorkerId id) {
     if (many > 1 && !call.tries.empty() && call.tries.back().worker == id) return false;
@@ -417,7 +414,7 @@
   // all answers need, no less than ordinary slow ones. A pressed fleet gets the whole time.
   const double share = std::max(0.3, 3 * seen.latency.at(0.95) * size_of(call));
   Span limit = call.due - now_;
-  if (route.repeat != Repeat::non_idempotent && strain() < 0.7 && share < 0.65) {
+  if (route.repeat != Repeat::non_idempotent && strain() < 0.3 && share < 0.65) {
     limit = std::min(limit, spanning(share * seconds(route.latency_target)));
   }
   effects_.send(id, to, limit);
@@ -446,25 +443,6 @@
   return state.chance() >= (1 - state.open) / std::max(dear, 1e-3) * double(state.chance.max());
 }
 
-// Among hundreds a gatekeeper meets a worker once in half a minute: what it suffers there it tells the
-// others, as seldom as makes half of what all can take in. It weighs in the choice of two, for some seconds,
-// and bars nothing: a hung, dead or jammed worker stands out, lost answers blame all workers alike.
-void Choice::tell_blame(Worker& worker) {
-  add_blame(worker);
-  if (terms_.permits.peer_intake <= 0 || now_ < state.next_blame) return;
-  state.next_blame = now_ + spanning(2 * terms_.gatekeepers / terms_.permits.peer_intake);
-  effects_.tell_all(std::to_string(worker.id) + "w");
-}
-
-double Choice::blame(const Blame& blame) const {
-  return blame.ends * std::exp(-seconds(now_ - blame.at) / seconds(kDry));
-}
-
-void Choice::add_blame(Worker& worker) {
-  worker.blamed = {1 + blame(worker.blamed), now_};
-  state.blamed = {1 + blame(state.blamed), now_};
-}
-
 double Choice::size_of(const ApiCall& call) const {
   return std::clamp(call.units / std::max(state.routes[call.route].units, 1e-3), 0.5, 4.0);
 }
@@ -513,7 +491,6 @@
     if (timed_out || full) learn_pressure(false, true);
     // Three bad ends in a row of any kind, or two without a connection: set aside, with a trickle that
     // doubles while it goes well. For hung, silent, dead and failing workers alike.
-    if (timed_out || outcome == Outcome::no_route) tell_blame(worker);
     worker.misses += full ? 0 : outcome == Outcome::no_route ? 2 : 1;
     if (worker.misses >= 3) worker.window = std::min(worker.window, 1.0 / 8);
   }
@@ -538,10 +515,9 @@
     // A process that started anew keeps nothing of what was learnt about it, but what is out stays counted.
     const int out = worker.out;
     worker = Worker();
-    worker.id = id;
     worker.out = out;
     // Some cores' worth among all gatekeepers until its answers tell more.
-    worker.window = std::max(1.0, 8.0 / terms_.gatekeepers);
+    worker.window = 8.0 / terms_.gatekeepers;
     worker.started = started;
     worker.cold_at = now;
   }
@@ -657,7 +633,7 @@
   };
   if (any(&UpstreamTry::out)) return;
   // No further try of what may have run while the fleet is pressed.
-  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.9) || !let_through(call))
+  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.5) || !let_through(call))
     return give_up(id, terms_.permits.longest_advice);
   call.waiting = true;
   state.waiting.insert({call.rank, id});
@@ -762,14 +738,9 @@
 
 void Choice::peer_says(Span now, int, std::string_view bytes) {
   hear(now);
-  const bool of_worker = bytes.ends_with('w');
-  if (of_worker) bytes.remove_suffix(1);
   std::uint32_t key = 0;
   const auto [end, error] = std::from_chars(bytes.data(), bytes.data() + bytes.size(), key);
-  if (error != std::errc() || end != bytes.data() + bytes.size()) return;
-  const auto worker = state.workers.find(key);
-  if (!of_worker) note_dry(key);
-  if (of_worker && worker != state.workers.end()) add_blame(worker->second);
+  if (error == std::errc() && end == bytes.data() + bytes.size()) note_dry(key);
 }
 
 }  // namespace ironquay
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -93,9 +93,6 @@
   bool let_through(const ApiCall& call);
   Span next_wake() const;
   Span shift_of(const std::string& customer) const;
-  void tell_blame(Worker& worker);
-  void add_blame(Worker& worker);
-  double blame(const Blame& blame) const;
   double size_of(const ApiCall& call) const;
   std::size_t waiting_limit() const;
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -40,14 +40,7 @@
   std::vector<UpstreamTry> tries;
 };
 
-// Bad ends of late, those that other gatekeepers told of too.
-struct Blame {
-  double ends = 0;
-  Span at{0};
-};
-
 struct Worker {
-  WorkerId id = 0;
   std::string zone;
   std::int64_t cell = 0;
   double share = 1;
@@ -60,7 +53,6 @@
   Span ended{0};      // when the last of them ended
   Span cut_at{0};     // when the window was last made smaller
   double pace = 1;    // its times against its route's usual
-  Blame blamed;
   double cold_budget = 0;
   Span cold_at{0};
 };
@@ -131,8 +123,6 @@
   std::unordered_map<std::uint32_t, Span> dry;  // customers whose pool is empty, until when
   std::deque<std::uint32_t> dry_ends;           // the same, oldest first
   Span next_tell{0};
-  Span next_blame{0};
-  Blame blamed;  // all workers
   Span counter_rest{0};
   Span counter_quiet_until{0};
   double send_rate = 0;  // own sends a second to one warm worker
