--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -414,7 +414,7 @@
   // all answers need, no less than ordinary slow ones. A pressed fleet gets the whole time.
   const double share = std::max(0.3, 3 * seen.latency.at(0.95) * size_of(call));
   Span limit = call.due - now_;
-  if (route.repeat != Repeat::non_idempotent && strain() < 0.3 && share < 0.65) {
+  if (route.repeat != Repeat::non_idempotent && strain() < 0.7 && share < 0.65) {
     limit = std::min(limit, spanning(share * seconds(route.latency_target)));
   }
   effects_.send(id, to, limit);
@@ -517,7 +517,7 @@
     worker = Worker();
     worker.out = out;
     // Some cores' worth among all gatekeepers until its answers tell more.
-    worker.window = 8.0 / terms_.gatekeepers;
+    worker.window = std::max(1.0, 8.0 / terms_.gatekeepers);
     worker.started = started;
     worker.cold_at = now;
   }
@@ -633,7 +633,7 @@
   };
   if (any(&UpstreamTry::out)) return;
   // No further try of what may have run while the fleet is pressed.
-  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.5) || !let_through(call))
+  if (!leave_for(call).send || (any(&UpstreamTry::may_have_run) && strain() > 0.9) || !let_through(call))
     return give_up(id, terms_.permits.longest_advice);
   call.waiting = true;
   state.waiting.insert({call.rank, id});
