--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -210,7 +210,7 @@
   if (had > 0) {
     slice.stored += had;
     slice.unasked = 0;
-    state.dry.erase(key_of(call.customer));
+    if (left > full / 2) state.dry.erase(key_of(call.customer));
   } else {
     slice.next_ask = now_ + spanning((least - there) / (slice.standing * plan.rate));
     if (!is_dry(call.customer)) tell_dry(call.customer, slice);
