--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -344,7 +344,10 @@
   const double warm = ramp(worker);
   if (warm >= 1) return;
   // A gatekeeper that has just started finds out about it too: all of them by four sends a second at most.
-  const double rate = std::max(4.0 / std::max(8, terms_.gatekeepers), state.send_rate) * warm;
+  const double rate =
+      std::max(4.0 / std::max(8, terms_.gatekeepers),
+               state.send_rate / std::max(1.0, std::min<double>(state.warm, 8 + 2 * state.send_rate))) *
+      warm;
   const double most = std::max(1.0, rate * seconds(terms_.promises.fall));
   worker.cold_budget = std::min(most, worker.cold_budget + rate * seconds(now_ - worker.cold_at));
   worker.cold_at = now_;
@@ -383,11 +386,17 @@
     fill_cold(state.workers.at(id));
     return may_take(call, id);
   };
-  // Where neither of two may take it, two others: in a fleet with a quarter fit one is found nearly always.
+  // Among hundreds a gatekeeper keeps to so many workers, in a row from its own place on the list, that it
+  // meets each every two seconds or so: what it learns of one is then of use. Where it has little to send, to
+  // eight.
+  const std::size_t near = std::min(many, static_cast<std::size_t>(8 + 2 * state.send_rate));
+  const std::size_t start = many * static_cast<std::size_t>(terms_.me) / std::max(1, terms_.gatekeepers);
+  // Where neither of two may take it, two others; the last two draws and bound calls go through all workers.
   for (int draw = 0; many > 0 && draw < 8; ++draw) {
-    const std::size_t at = state.chance() % many;
-    const WorkerId a = state.ready[at];
-    const WorkerId b = state.ready[(at + 1 + state.chance() % std::max<std::size_t>(1, many - 1)) % many];
+    const std::size_t among = draw >= 6 || leave_for(call).bound_to ? many : near;
+    const std::size_t at = state.chance() % among;
+    const std::size_t next = (at + 1 + state.chance() % std::max<std::size_t>(1, among - 1)) % among;
+    const WorkerId a = state.ready[(start + at) % many], b = state.ready[(start + next) % many];
     const bool a_fits = fits(a), b_fits = fits(b);
     chosen = a_fits && (!b_fits || load(a) <= load(b)) ? a : b;
     if (a_fits || b_fits) return true;
@@ -408,7 +417,7 @@
   ++state.out;
   state.send_rate *= std::exp(-seconds(now_ - state.send_at) / 2);  // over two seconds or so
   state.send_at = now_;
-  if (ramp(worker) >= 1) state.send_rate += 0.5 / std::max(1, state.warm);
+  if (ramp(worker) >= 1) state.send_rate += 0.5;
   call.tries.push_back({to, worker.zone, worker.cell, now_, true, true});
   // Where another try may follow in time, this one leaves a third of the target for it: thrice what nearly
   // all answers need, no less than ordinary slow ones. A pressed fleet gets the whole time.
