--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -346,7 +346,7 @@
   // A gatekeeper that has just started finds out about it too: all of them by four sends a second at most.
   const double rate =
       std::max(4.0 / std::max(8, terms_.gatekeepers),
-               state.send_rate / std::max(1.0, std::min<double>(state.warm, 4 + state.send_rate))) *
+               state.send_rate / std::max(1.0, std::min<double>(state.warm, 3 + state.send_rate / 2))) *
       warm;
   const double most = std::max(1.0, rate * seconds(terms_.promises.fall));
   worker.cold_budget = std::min(most, worker.cold_budget + rate * seconds(now_ - worker.cold_at));
@@ -389,7 +389,7 @@
   // Among hundreds a gatekeeper keeps to so many workers, in a row from its own place on the list, that it
   // meets each every two seconds or so: what it learns of one is then of use. Where it has little to send, to
   // eight.
-  const std::size_t near = std::min(many, static_cast<std::size_t>(4 + state.send_rate));
+  const std::size_t near = std::min(many, static_cast<std::size_t>(3 + state.send_rate / 2));
   const std::size_t start = many * static_cast<std::size_t>(terms_.me) / std::max(1, terms_.gatekeepers);
   // Where neither of two may take it, two others; the last two draws and bound calls go through all workers.
   for (int draw = 0; many > 0 && draw < 8; ++draw) {
