--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -62,8 +62,8 @@
 
 void Choice::wake_later() { effects_.wake_at(state.woken_for = next_wake()); }
 
-// Every input starts here. A timer long overdue tells that this gatekeeper itself stood still: what was out
-// then says nothing of the workers.
+// A timer long overdue tells that this gatekeeper itself stood still: what was out says nothing of the
+// workers.
 void Choice::hear(Span now) {
   now_ = now;
   if (state.woken_for < now - 100ms) state.back_at = now;
@@ -73,10 +73,8 @@
     : terms_(std::move(terms)), effects_(effects), now_(now) {
   state.chance.seed(seed);
   // Bins as shares of the latency target: fine where time-outs are set, coarse beyond it.
-  for (std::size_t i = 0; i < terms_.routes.size(); ++i) {
-    state.routes.emplace_back().latency.edges = {1. / 16, 1. / 8, 3. / 16, 1. / 4, 3. / 8,
-                                                 1. / 2,  3. / 4, 1,       2};
-  }
+  for (std::size_t i = 0; i < terms_.routes.size(); ++i)
+    state.routes.emplace_back().latency.edges = {.0625, .125, .1875, .25, .375, .5, .75, 1, 2};
   state.send_at = now;
   if (terms_.permits.list_on_request) state.agenda.emplace(now, std::pair(Duty::ask_for_list, std::string()));
 }
@@ -182,7 +180,7 @@
   return now_ < state.counter_quiet_until ? 0 : slice.standing;
 }
 
-// While the counter is crowded the calls of many units ask sooner: more is at stake in each.
+// Calls of many units ask sooner: more is at stake in each.
 double Choice::part_asking(const ApiCall& call) const {
   return std::min(1.0, state.asks * call.units / std::max(state.units, 1e-3));
 }
@@ -227,7 +225,7 @@
   }
 }
 
-// A pool found empty is told to the customer's other gatekeepers, so that those that cannot ask know.
+// A pool found empty is told to the customer's other gatekeepers, for those that cannot ask.
 bool Choice::is_dry(const std::string& customer) const {
   const auto found = state.dry.find(key_of(customer));
   return found != state.dry.end() && now_ < found->second;
@@ -255,21 +253,17 @@
   }
 }
 
-// A pool has a name for each round.
 std::string Choice::pool_name(const std::string& customer) const {
   return customer + ":" + std::to_string((now_ + shift_of(customer)) / kRound);
 }
 
-// Rounds of different customers start at different times, the same at all gatekeepers, so that the counter's
-// calls come evenly.
+// Rounds of different customers start at different times, the same at all gatekeepers.
 Span Choice::shift_of(const std::string& customer) const {
   return Span(static_cast<std::int64_t>(sum_of(customer) >> 20) % kRound.count());
 }
 
-// Surplus: what the slice fills in a beat beyond demand and a headroom of half of it, but for one call's
-// units.
+// Surplus: what the slice fills in a beat beyond demand and a headroom of half, but for one call's units.
 void Choice::give_surplus(const std::string& customer, Slice& slice) {
-  // While the counter is silent slices stay put.
   if (now_ < state.counter_quiet_until) return;
   refill(slice);
   const double spare = std::min((slice.rate * (1 - slice.standing) / 2 - slice.demand) * seconds(kBeat),
@@ -344,10 +338,9 @@
   const double warm = ramp(worker);
   if (warm >= 1) return;
   // A gatekeeper that has just started finds out about it too: all of them by four sends a second at most.
-  const double rate =
-      std::max(4.0 / std::max(8, terms_.gatekeepers),
-               state.send_rate / std::max(1.0, std::min<double>(state.warm, 3 + state.send_rate / 2))) *
-      warm;
+  const double warm_part = state.warm / std::max(1.0, static_cast<double>(state.ready.size()));
+  const double met = std::max(1.0, static_cast<double>(row()) * warm_part);
+  const double rate = warm * std::max(4.0 / std::max(8, terms_.gatekeepers), state.send_rate / met);
   const double most = std::max(1.0, rate * seconds(terms_.promises.fall));
   worker.cold_budget = std::min(most, worker.cold_budget + rate * seconds(now_ - worker.cold_at));
   worker.cold_at = now_;
@@ -367,10 +360,16 @@
     if (worker.cold_budget < 1 || (fresh && (now_ / turn) % terms_.gatekeepers != terms_.me)) return false;
   }
   const Leave leave = leave_for(call);
-  if (!leave.send || !leave.bound_to) return leave.send;
   const Scope scope = terms_.routes[call.route].scope;
-  return scope == Scope::all || (scope == Scope::zone && worker.zone == leave.bound_to->zone) ||
-         (scope == Scope::cell && worker.cell == leave.bound_to->cell);
+  if (!leave.send || !leave.bound_to) return leave.send;
+  if (scope == Scope::zone) return worker.zone == leave.bound_to->zone;
+  return scope == Scope::all || worker.cell == leave.bound_to->cell;
+}
+
+// Among hundreds a gatekeeper keeps to so many workers, in a row from its own place on the list, that it
+// meets each about every second: what it learns of one is then of use. Where it sends little, to four.
+std::size_t Choice::row() const {
+  return std::clamp<std::size_t>(state.ready.size(), 1, static_cast<std::size_t>(4 + state.send_rate));
 }
 
 bool Choice::pick(const ApiCall& call, WorkerId& chosen) {
@@ -386,14 +385,10 @@
     fill_cold(state.workers.at(id));
     return may_take(call, id);
   };
-  // Among hundreds a gatekeeper keeps to so many workers, in a row from its own place on the list, that it
-  // meets each every two seconds or so: what it learns of one is then of use. Where it has little to send, to
-  // eight.
-  const std::size_t near = std::min(many, static_cast<std::size_t>(3 + state.send_rate / 2));
   const std::size_t start = many * static_cast<std::size_t>(terms_.me) / std::max(1, terms_.gatekeepers);
   // Where neither of two may take it, two others; the last two draws and bound calls go through all workers.
   for (int draw = 0; many > 0 && draw < 8; ++draw) {
-    const std::size_t among = draw >= 6 || leave_for(call).bound_to ? many : near;
+    const std::size_t among = draw >= 6 || leave_for(call).bound_to ? many : row();
     const std::size_t at = state.chance() % among;
     const std::size_t next = (at + 1 + state.chance() % std::max<std::size_t>(1, among - 1)) % among;
     const WorkerId a = state.ready[(start + at) % many], b = state.ready[(start + next) % many];
@@ -433,10 +428,9 @@
   return std::max(1 - state.open, state.room > 0 ? static_cast<double>(state.out) / state.room : 1);
 }
 
-// Hundreds of gatekeepers with one try out at each worker press the fleet, and none has tries enough at one
-// worker to see it: all ends at all workers together tell. Answers in good time open the way, slow ones close
-// it. A time-out closes as far as answers are slow, or most ends are bad: a third of answers lost, or a fifth
-// of the workers hung, closes nothing. Low, it halves and doubles.
+// Hundreds of gatekeepers with one try out at each worker press the fleet, which only all ends together show.
+// Answers in good time open the way, slow ones close it, a time-out as far as answers are slow or most ends
+// bad: a third of answers lost, or a fifth of the workers hung, closes nothing. Low, it halves and doubles.
 void Choice::learn_pressure(bool answered, bool slow) {
   // Over sixteen ends or so: a few seconds' of a gatekeeper among hundreds.
   state.quick += ((answered && !slow) - state.quick) / 16;
@@ -546,7 +540,6 @@
   state.ready.clear();
   state.room = state.warm = 0;
   for (auto& [id, worker] : state.workers) {
-    // What a whole list does not name is gone.
     if (state.list_kind != ListKind::changes && !state.list_named.contains(id)) worker.phase = Phase::gone;
     if (worker.phase != Phase::ready) continue;
     state.ready.push_back(id);
@@ -576,9 +569,9 @@
   call.plan = plan_at;
   call.customer = std::string(customer);
   call.units = units;
-  const Span margin = 3 * terms_.tick;
-  call.due = now + left - margin;
-  if (route.late_share <= 0) call.due = std::min(call.due, now + route.latency_target - spent - margin);
+  call.due = now + left - 3 * terms_.tick;
+  if (route.late_share <= 0)
+    call.due = std::min(call.due, now + route.latency_target - spent - 3 * terms_.tick);
   state.dues.insert({call.due, id});
 
   Slice& slice = slice_of(customer, plan_at, spread);
@@ -680,7 +673,7 @@
   }
 }
 
-// As many may wait as are out: they then wait about one answer's time.
+// They then wait about one answer's time.
 std::size_t Choice::waiting_limit() const { return 4 + static_cast<std::size_t>(state.out); }
 
 void Choice::drop_waiting() { give_up(state.waiting.rbegin()->second, terms_.permits.longest_advice); }
@@ -717,13 +710,8 @@
   }
   if (outcome == Outcome::passed && terms_.units_settle && true_units > 0 && !call.beyond &&
       slice != state.slices.end()) {
-    const double more = true_units - call.units;
-    slice->second.demand += more / seconds(kMeasure);
-    // Where the quota is used up the pool hears of it at once: this gatekeeper may take no more for long.
-    if (pooled(slice->second) > 0 && is_dry(call.customer))
-      count(pool_name(call.customer), {CountFor::giving_back, call.customer}, more);
-    else
-      slice->second.stored -= more;
+    slice->second.stored -= true_units - call.units;
+    slice->second.demand += (true_units - call.units) / seconds(kMeasure);
   }
   if (finished) forget(id);
   if (!finished) state.to_judge.push_back(id);
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -74,6 +74,7 @@
   void send_waiting();
   void drop_waiting();
   void stop_waiting(CallId id, ApiCall& call);
+  std::size_t row() const;
   bool pick(const ApiCall& call, WorkerId& chosen);
   double ramp(const Worker& worker) const;
   void send_to(CallId id, ApiCall& call, WorkerId worker);
--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -246,6 +246,26 @@
   CHECK(pressed.choice.state.open < 0.1);
 }
 
+// Incidents at full size: each gatekeeper met a hung worker once in half a minute and learnt nothing of it.
+TEST_CASE("among hundreds a gatekeeper keeps to a row of workers, and leaves it where none there will do") {
+  Terms terms = some_terms();
+  terms.gatekeepers = 300;
+  terms.me = 30;
+  Bench bench(terms);
+  for (WorkerId id = 0; id < 100; ++id) bench.worker(id).phase = Phase::ready;
+  for (CallId id = 1; id <= 4; ++id) bench.choice.call_arrives(0s, id, "c", 0, 0, 1, 0, 2, 3s, false);
+  for (const std::string& one : bench.effects.done) {
+    const int worker = std::stoi(one.substr(one.rfind(' ')));
+    CHECK(worker >= 10);
+    CHECK(worker < 16);
+  }
+  CHECK(bench.effects.done.size() == 4);
+  bench.effects.done.clear();
+  for (WorkerId id = 10; id < 20; ++id) bench.choice.state.workers[id].phase = Phase::draining;
+  bench.choice.call_arrives(0s, 5, "c", 0, 0, 1, 0, 2, 3s, false);
+  CHECK(bench.effects.done.at(0).substr(0, 7) == "send 5 ");
+}
+
 TEST_CASE("a cold worker's least sends are shared by all gatekeepers, whatever their number") {
   for (const int gatekeepers : {8, 300}) {
     Terms terms = some_terms();
