--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -595,7 +595,8 @@
   const bool asks = pool && !repeat && state.chance() <= part_asking(call) * double(state.chance.max());
   bool inside = plan.rate <= 0 || slice.stored > 0;
   if (pool) {
-    inside = !asks && !repeat && !is_dry(call.customer) && slice.unasked < slice.standing * plan.burst / 4;
+    inside = !asks && !repeat && !is_dry(call.customer) &&
+             slice.unasked < slice.standing * plan.burst * std::min(0.25, 16 * slice.share);
     if (inside) slice.unasked += units;
     if (inside) slice.stored += units;  // those that ask take for it
   }
