Windows start and grow in a gatekeeper's part of a worker's eight

Cause: with rows, each of some twenty gatekeepers had a whole try at a worker of two or three cores.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -424,6 +424,12 @@
   effects_.send(id, to, limit);
 }
 
+// Eight for each worker among the gatekeepers whose rows hold it, some cores' worth, until answers tell more.
+double Choice::first_window() const {
+  return 8.0 * static_cast<double>(std::max(state.ready.size(), row())) / static_cast<double>(row()) /
+         terms_.gatekeepers;
+}
+
 double Choice::strain() const {
   return std::max(1 - state.open, state.room > 0 ? static_cast<double>(state.out) / state.room : 1);
 }
@@ -483,10 +489,11 @@
     // One answer in a hundred takes some five times the mean by its own work, so a mean over a fifth of the
     // target makes late answers. Routes with more work than that go by their calm times.
     const double calm = seen.calm / target, near = std::max(0.22, 1.75 * calm);
-    if (worker.window < 1 && share < near)
-      worker.window = std::min(1.0, 2 * worker.window);
+    const double first = std::min(1.0, first_window());
+    if (worker.window < first && share < near)
+      worker.window = std::min(first, 2 * worker.window);
     else if (share < std::max(0.12, calm) && worker.out + 1 >= worker.window)
-      worker.window += 1 / worker.window;
+      worker.window += first * first / worker.window;
     if (share > near) shrink(0.8);
     learn_pressure(true, share > 0.5);
   } else {
@@ -519,8 +526,7 @@
     const int out = worker.out;
     worker = Worker();
     worker.out = out;
-    // Some cores' worth among all gatekeepers until its answers tell more.
-    worker.window = std::max(1.0, 8.0 / terms_.gatekeepers);
+    worker.window = first_window();
     worker.started = started;
     worker.cold_at = now;
   }
@@ -595,8 +601,7 @@
   const bool asks = pool && !repeat && state.chance() <= part_asking(call) * double(state.chance.max());
   bool inside = plan.rate <= 0 || slice.stored > 0;
   if (pool) {
-    inside = !asks && !repeat && !is_dry(call.customer) &&
-             slice.unasked < slice.standing * plan.burst * std::min(0.25, 16 * slice.share);
+    inside = !asks && !repeat && !is_dry(call.customer) && slice.unasked < slice.standing * plan.burst / 4;
     if (inside) slice.unasked += units;
     if (inside) slice.stored += units;  // those that ask take for it
   }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -90,6 +90,7 @@
   void count(std::string_view name, CountCall call, double amount);
   std::string pool_name(const std::string& customer) const;
   double strain() const;
+  double first_window() const;
   void learn_pressure(bool answered, bool slow);
   bool let_through(const ApiCall& call);
   Span next_wake() const;
