--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -426,7 +426,7 @@
 
 // Eight for each worker among the gatekeepers whose rows hold it, some cores' worth, until answers tell more.
 double Choice::first_window() const {
-  return 8.0 * static_cast<double>(std::max(state.ready.size(), row())) / static_cast<double>(row()) /
+  return 4.0 * static_cast<double>(std::max(state.ready.size(), row())) / static_cast<double>(row()) /
          terms_.gatekeepers;
 }
 
