--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -424,9 +424,9 @@
   effects_.send(id, to, limit);
 }
 
-// Eight for each worker among the gatekeepers whose rows hold it, some cores' worth, until answers tell more.
+// Six for each worker among the gatekeepers whose rows hold it, some cores' worth, until answers tell more.
 double Choice::first_window() const {
-  return 4.0 * static_cast<double>(std::max(state.ready.size(), row())) / static_cast<double>(row()) /
+  return 6.0 * static_cast<double>(std::max(state.ready.size(), row())) / static_cast<double>(row()) /
          terms_.gatekeepers;
 }
 
