--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -448,8 +448,8 @@
 
 // Dear calls for their time are let through sooner.
 bool Choice::let_through(const ApiCall& call) {
-  const double dear = state.rank < 0 ? std::min(call.rank / state.rank, 4.0) : 1;
-  return state.chance() >= (1 - state.open) / std::max(dear, 1e-3) * double(state.chance.max());
+  const double dear = state.rank < 0 ? std::clamp(call.rank / state.rank, 1e-3, 4.0) : 1;
+  return state.chance() <= std::pow(state.open, 1 / dear) * double(state.chance.max());
 }
 
 double Choice::size_of(const ApiCall& call) const {
