--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -495,7 +495,7 @@
     else if (share < std::max(0.12, calm) && worker.out + 1 >= worker.window)
       worker.window += first * first / worker.window;
     if (share > near) shrink(0.8);
-    learn_pressure(true, share > 0.35);
+    learn_pressure(true, share > 0.28);
   } else {
     shrink(timed_out || full ? 0.5 : 0.8);
     if (timed_out || full) learn_pressure(false, true);
