--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -233,12 +233,10 @@
 
 void Choice::note_dry(std::uint32_t key) {
   state.dry[key] = now_ + kDry;
-  state.dry_ends.push_back(key);
-  for (auto old = state.dry.find(key);
-       (old = state.dry.find(state.dry_ends.front())) == state.dry.end() || old->second <= now_;
-       state.dry_ends.pop_front()) {
-    if (old != state.dry.end()) state.dry.erase(old);
-  }
+  // What is past goes whenever there is twice as much as was left the last time.
+  if (state.dry.size() < 2 * state.dry_left + 64) return;
+  std::erase_if(state.dry, [&](const auto& one) { return one.second <= now_; });
+  state.dry_left = state.dry.size();
 }
 
 void Choice::tell_dry(const std::string& customer, const Slice& slice) {
@@ -495,7 +493,9 @@
     else if (share < std::max(0.12, calm) && worker.out + 1 >= worker.window)
       worker.window += first * first / worker.window;
     if (share > near) shrink(0.8);
-    learn_pressure(true, share > 0.28);
+    // Three tenths of the target: twice an unhurried answer; later, jams stayed, sooner, calm fleets were
+    // shut.
+    learn_pressure(true, share > 0.3);
   } else {
     shrink(timed_out || full ? 0.5 : 0.8);
     if (timed_out || full) learn_pressure(false, true);
@@ -556,8 +556,6 @@
   settle();
 }
 
-// ---- API calls.
-
 void Choice::call_arrives(Span now, CallId id, std::string_view customer, std::size_t route_at,
                           std::size_t plan_at, double units, int first, int spread, Span left, bool repeat) {
   hear(now);
@@ -615,7 +613,6 @@
   settle();
 }
 
-// What the quota says is settled: the API call may be sent, or gets its answer at once.
 void Choice::admit(CallId id, bool inside, double come_back) {
   ApiCall& call = state.calls.at(id);
   const Plan& plan = terms_.plans[call.plan];
@@ -679,7 +676,6 @@
   }
 }
 
-// They then wait about one answer's time.
 std::size_t Choice::waiting_limit() const { return 4 + static_cast<std::size_t>(state.out); }
 
 void Choice::drop_waiting() { give_up(state.waiting.rbegin()->second, terms_.permits.longest_advice); }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -108,11 +108,10 @@
   std::set<WorkerId> list_named;
   ListKind list_kind = ListKind::cached;
   bool room_again = false;
-  int out = 0;              // own upstream tries out
-  int warm = 0;             // ready workers that were warm when the list last changed
-  double room = 0;          // the ready workers' windows
-  std::size_t resting = 0;  // ready workers set aside
-  Span back_at{0};          // when this gatekeeper last came back from standing still
+  int out = 0;      // own upstream tries out
+  int warm = 0;     // ready workers that were warm when the list last changed
+  double room = 0;  // the ready workers' windows
+  Span back_at{0};  // when this gatekeeper last came back from standing still
   Span woken_for = Span::max();
   double quick = 1;  // how many of the tries of late ended in good time
   double slow = 0;   // how many of the answers of late were slow
@@ -121,7 +120,7 @@
   double units = 0;  // the same
   double asks = 1;   // how many of the API calls for which the counter could be asked do so
   std::unordered_map<std::uint32_t, Span> dry;  // customers whose pool is empty, until when
-  std::deque<std::uint32_t> dry_ends;           // the same, oldest first
+  std::size_t dry_left = 0;                     // of them when those past were last dropped
   Span next_tell{0};
   Span counter_rest{0};
   Span counter_quiet_until{0};
