--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -495,10 +495,10 @@
     if (share > near) shrink(0.8);
     // Three tenths of the target: twice an unhurried answer; later, jams stayed, sooner, calm fleets were
     // shut.
-    if (share <= 0.3 || before >= 0.5 * first) learn_pressure(true, share > 0.3);
+    learn_pressure(true, share > 0.3);
   } else {
     shrink(timed_out || full ? 0.5 : 0.8);
-    if ((timed_out || full) && before >= 0.5 * std::min(1.0, first_window())) learn_pressure(false, true);
+    if (timed_out || full) learn_pressure(false, true);
     // Three bad ends in a row of any kind, or two without a connection: set aside, with a trickle that
     // doubles while it goes well. For hung, silent, dead and failing workers alike.
     worker.misses += full ? 0 : outcome == Outcome::no_route ? 2 : 1;
