--- a/src/adapter/decode_terms.cpp
+++ b/src/adapter/decode_terms.cpp
@@ -66,7 +66,6 @@
   plan.at_once = need<int>(from, "at_once");
   plan.ceiling_rate = need<double>(from, "never_over_rate");
   plan.ceiling_burst = need<double>(from, "hard_burst");
-  plan.value_factor = need<double>(from, "value_factor");
   plan.beyond_earns = need<double>(from, "beyond_earns");
   plan.beyond_costs = need<double>(from, "overrun_cost");
   return plan;
@@ -91,7 +90,6 @@
   terms.promises.cold_share = need<double>(contract, "cold_share");
   terms.promises.warm_after = span(contract, "warm_after");
   terms.promises.fall = span(contract, "fall");
-  terms.promises.fall_multiple = need<double>(contract, "fall_multiple");
   terms.promises.ask_within = span(contract, "ask_within");
   const Json& bounds = part(from, "bounds");
   terms.permits.cancel = need<bool>(bounds, "cancelling");
--- a/src/terms.hpp
+++ b/src/terms.hpp
@@ -30,7 +30,6 @@
   int at_once = 0;   // upstream tries out at once, 0: no such quota
   double ceiling_rate = 0;
   double ceiling_burst = 0;
-  double value_factor = 1;
   double beyond_earns = 0;
   double beyond_costs = 0;
 };
@@ -39,7 +38,6 @@
   double cold_share = 1;
   Span warm_after{0};
   Span fall{0};
-  double fall_multiple = 1;
   Span ask_within{0};
 };
 
--- a/test/helpers.hpp
+++ b/test/helpers.hpp
@@ -53,7 +53,7 @@
   terms.plans = {plan, plan};
   terms.plans[1].ceiling_rate = 60;
   terms.plans[1].ceiling_burst = 90;
-  terms.promises = {0.2, 10s, 1s, 3, 10s};
+  terms.promises = {0.2, 10s, 1s, 10s};
   terms.permits.cancel = terms.permits.counter = true;
   terms.permits.tries = 6;
   terms.permits.counter_limit = 50ms;
