--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -243,7 +243,8 @@
   // Each gatekeeper tells as seldom as makes half of what all of them can take in.
   if (terms_.permits.peer_intake <= 0 || now_ < state.next_tell) return;
   const int spread = static_cast<int>(std::lround(1 / slice.share));
-  state.next_tell = now_ + spanning(2 * spread / terms_.permits.peer_intake);
+  state.next_tell =
+      std::max(state.next_tell, now_ - kDry) + spanning(2 * spread / terms_.permits.peer_intake);
   const std::string key = std::to_string(key_of(customer));
   for (int i = 0; i < spread; ++i) {
     const int peer = (slice.first + i) % terms_.gatekeepers;
