--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -187,7 +187,8 @@
 
 // An API call that the store does not cover waits for the answer, for its units and a second's demand.
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
-  const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
+  const double ahead =
+      std::max(0.0, slice.demand - call.units / seconds(kMeasure)) / std::max(state.asks, 0.25);
   const double units = std::max(call.units + ahead - slice.stored, 1e-3);
   // Where only some calls ask, each takes for those that do not.
   count(pool_name(call.customer), {CountFor::api_call, call.customer, units, id},
@@ -243,8 +244,7 @@
   // Each gatekeeper tells as seldom as makes half of what all of them can take in.
   if (terms_.permits.peer_intake <= 0 || now_ < state.next_tell) return;
   const int spread = static_cast<int>(std::lround(1 / slice.share));
-  state.next_tell =
-      std::max(state.next_tell, now_ - kDry) + spanning(2 * spread / terms_.permits.peer_intake);
+  state.next_tell = now_ + spanning(2 * spread / terms_.permits.peer_intake);
   const std::string key = std::to_string(key_of(customer));
   for (int i = 0; i < spread; ++i) {
     const int peer = (slice.first + i) % terms_.gatekeepers;
