--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -187,8 +187,7 @@
 
 // An API call that the store does not cover waits for the answer, for its units and a second's demand.
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
-  const double ahead =
-      std::max(0.0, slice.demand - call.units / seconds(kMeasure)) / std::max(state.asks, 0.25);
+  const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
   const double units = std::max(call.units + ahead - slice.stored, 1e-3);
   // Where only some calls ask, each takes for those that do not.
   count(pool_name(call.customer), {CountFor::api_call, call.customer, units, id},
@@ -508,8 +507,6 @@
   if (worker.phase == Phase::ready) state.room += worker.window - before;
 }
 
-// ---- The list.
-
 void Choice::list_opens(Span now, ListKind kind) {
   hear(now);
   state.list_kind = kind;
@@ -587,8 +584,7 @@
   if (!repeat) slice.demand += units / seconds(kMeasure);
   state.units = state.units > 0 ? state.units + 0.02 * (units - state.units) : units;
   seen.units = seen.units > 0 ? seen.units + 0.02 * (units - seen.units) : units;
-  // Billed value for the time it takes a worker goes first; the plan's factor is left out, so that a pressed
-  // fleet does not fail one plan alone.
+  // Billed value for its time goes first, without the plan's factor: no plan is to fail alone.
   call.rank = -route.billed_value * seen.units / std::max(seen.work, 1e-3);
   if (seen.work > 0) state.rank += (state.rank < 0 ? 0.02 : 1) * (call.rank - state.rank);
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
@@ -733,7 +729,6 @@
   settle();
 }
 
-// Probes change nothing yet.
 void Choice::probe_ends(Span now, WorkerId, Outcome, Span) { hear(now); }
 
 void Choice::peer_says(Span now, int, std::string_view bytes) {
