The real gatekeeper on sockets: one loop around the unchanged module

Clients and servers meet only in the exchange. decode_terms moved out of the adapter, so that settings are read in one place for the simulator and for sockets.

--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -261,7 +262,7 @@
     const std::string settings(fields.rest("config"));
     Born born;
     try {
-      born = decode_terms(settings);
+      born = decode_terms(nlohmann::json::parse(settings, nullptr, false));
     } catch (const std::runtime_error& error) {
       throw BadInput(std::string("START: config: ") + error.what());
     }
--- a/src/adapter/decode_terms.cpp
+++ b/src/decode_terms.cpp
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-namespace ironquay::adapter {
+namespace ironquay {
 namespace {
 
 using Json = nlohmann::json;
@@ -73,8 +73,7 @@
 
 }  // namespace
 
-Born decode_terms(const std::string& text) {
-  const Json from = Json::parse(text, nullptr, false);
+Born decode_terms(const Json& from) {
   if (!from.is_object()) throw std::runtime_error("settings are no JSON object");
   Born born;
   Terms& terms = born.terms;
@@ -98,6 +97,9 @@
   terms.permits.tries = need<int>(bounds, "try_limit");
   terms.permits.longest_advice = span(bounds, "max_retry_after");
   terms.permits.list_on_request = need<std::string>(from, "registry_mode") == "on_request";
+  born.links.idle_close = span(bounds, "idle_close");
+  born.links.connect_timeout = span(bounds, "connect_timeout");
+  born.links.open_cap = need<std::size_t>(bounds, "open_cap");
   const Json& family = part(from, "family_info");
   terms.permits.counter = need<bool>(family, "counter");
   if (terms.permits.counter) terms.permits.counter_limit = span(family, "count_limit");
@@ -113,4 +115,4 @@
   return born;
 }
 
-}  // namespace ironquay::adapter
+}  // namespace ironquay
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,345 @@
+#include "clients.hpp"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cmath>
+#include <deque>
+#include <system_error>
+
+#include "log.hpp"
+#include "resp.hpp"
+#include "stream.hpp"
+
+namespace ironquay::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Commands held of one connection, and bytes of answers that it has not taken, before no more are read of it.
+constexpr std::size_t kMostCalls = 1024, kMostUnwritten = 256 * 1024;
+// New connections come for 0.4 s after SIGTERM at most; then what is idle is told to go elsewhere.
+constexpr Span kTakeOn = 450ms;
+// For so long a connection that was told of its end may take to end its own side.
+constexpr Span kLinger = 1s;
+
+bool same_word(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+template <typename T>
+bool number(std::string_view text, T least, T most, T& value) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end == text.data() + text.size() && value >= least && value <= most;
+}
+
+}  // namespace
+
+class Clients::Call : public Exchange {
+ public:
+  explicit Call(Conn* conn) : conn_(conn) {}
+  void proxied(std::string_view value) override { answer({value}); }
+  void rate_limited(Span come_back) override;
+  void errored() override { answer({"-ERR failed\r\n"}); }
+  void answer(std::initializer_list<std::string_view> parts);
+
+  Conn* conn_;
+  bool answered_ = false;
+  std::string late_;  // an answer that waits for those before it
+  std::size_t weight_ = 0;
+};
+
+class Clients::Conn : public Loop::Handler {
+ public:
+  Conn(Clients& clients, Fd fd, const Address& peer)
+      : clients_(clients),
+        stream_(clients.loop_, std::move(fd), *this, true),
+        peer_(peer),
+        linger_(clients.loop_, [this] { end("linger"); }) {}
+
+  void ready(std::uint32_t events) override {
+    clients_.finished_.clear();
+    if (events & EPOLLOUT) stream_.flush();
+    corked_ = true;
+    stream_.read(events, [&](std::string_view bytes) { return take(bytes); });
+    corked_ = false;
+    if (!batch_.empty()) stream_.write({batch_});
+    batch_ = std::string();
+    // A paused stream reads no end, but a broken one tells of it all the same.
+    if (stream_.end() != End::open || (events & (EPOLLERR | EPOLLHUP)))
+      return end(stream_.end() == End::peer_closed ? "client-eof" : "client-reset");
+    settle();
+  }
+
+  bool idle() const { return line_.empty() && stream_.unread() == 0 && stream_.all_written(); }
+  bool asked_ever() const { return commands_ > 0; }
+  // No answer will follow on it, and nothing more of it is read as a command.
+  void leave(const char* reason) {
+    if (reason_) return;
+    reason_ = reason;
+    if (idle()) finish();
+  }
+  void end(const char* reason) {
+    if (ended_) return;
+    ended_ = true;
+    log("end peer=client addr=%s reason=%s commands=%zu held=%zu", text_of(peer_).c_str(),
+        reason_ ? reason_ : reason, commands_, line_.size());
+    stream_.close();
+    for (auto& call : line_) {
+      call->conn_ = nullptr;
+      clients_.held_ -= call->weight_;
+      --clients_.calls_;
+      if (!call->answered_) clients_.listener_.client_left(*call);
+      clients_.finished_.push_back(std::move(call));
+    }
+    line_.clear();
+    // One may have been kept waiting for this place.
+    if (clients_.conns_.size() >= clients_.most_) clients_.loop_.again(clients_.token_, EPOLLIN);
+    clients_.loop_.bury(std::move(*place_));
+    clients_.conns_.erase(place_);
+  }
+
+  Conns::iterator place_;
+
+ private:
+  friend class Call;
+
+  std::size_t take(std::string_view bytes) {
+    std::size_t at = 0;
+    while (at < bytes.size()) {
+      if (reason_) return bytes.size();
+      if (line_.size() >= kMostCalls || stream_.unwritten() > kMostUnwritten) {
+        stream_.pause();
+        break;
+      }
+      resp::Command command;
+      const resp::Parsed how = resp::parse_command(bytes.substr(at), command);
+      if (how == resp::Parsed::partial) break;
+      if (how == resp::Parsed::malformed) {
+        say("-ERR Protocol error\r\n");
+        leave("bad-input");
+        return bytes.size();
+      }
+      at += command.bytes;
+      ++commands_;
+      handle(command);
+    }
+    return at;
+  }
+
+  void handle(const resp::Command& command) {
+    const std::string_view verb = command.words[0];
+    const bool get = same_word(verb, "CALL.GET");
+    if (get || same_word(verb, "CALL.POST")) return call(command, get);
+    if (same_word(verb, "PING")) return say("+PONG\r\n");
+    if (same_word(verb, "CLIENT") || same_word(verb, "SELECT")) return say("+OK\r\n");
+    if (same_word(verb, "QUIT")) {
+      say("+OK\r\n");
+      return leave("quit");
+    }
+    say("-ERR unknown command\r\n");
+  }
+
+  void call(const resp::Command& command, bool get) {
+    Call& call = place();
+    const char* wrong =
+        command.count == 4 || command.count == 5 ? nullptr : "-ERR wrong number of arguments\r\n";
+    if (!wrong) {
+      call.verb = command.words[0];
+      call.customer = command.words[1];
+      call.tag = command.words[2];
+      call.marks = command.words[3];
+      call.has_body = command.count == 5;
+      if (call.has_body) call.body = command.words[4];
+      wrong = read_marks(call, get);
+    }
+    if (wrong) return call.answer({wrong});
+    call.weight_ = command.bytes;
+    clients_.held_ += call.weight_;
+    const std::size_t cap = clients_.born_.links.open_cap;
+    if ((cap > 0 && clients_.calls_ > cap) || clients_.held_ > clients_.memory_)
+      return call.answer({"-BUSY\r\n"});
+    clients_.listener_.call_came(call);
+    if (!call.answered_) call.keep();
+  }
+
+  // What is wrong with the command, in the words of an answer, or nothing.
+  const char* read_marks(Call& call, bool get) {
+    const Born& born = clients_.born_;
+    const auto mark = [&](const char* name) { return resp::field(call.marks, name); };
+    std::uint64_t customer = 0;
+    if (call.customer.size() != 16 || call.tag.empty()) return "-ERR no such customer\r\n";
+    const char* last = call.customer.data() + call.customer.size();
+    const auto [end, error] = std::from_chars(call.customer.data(), last, customer, 16);
+    if (error != std::errc() || end != last) return "-ERR no such customer\r\n";
+    const auto route = born.routes.find(mark("c"));
+    if (route == born.routes.end()) return "-ERR no such class\r\n";
+    const auto plan = born.plans.find(mark("t"));
+    if (plan == born.plans.end()) return "-ERR no such plan\r\n";
+    call.route = route->second;
+    call.plan = plan->second;
+    const Repeat repeat = born.terms.routes[call.route].repeat;
+    if (get != (repeat == Repeat::idempotent)) return "-ERR this class has another command\r\n";
+    if (repeat == Repeat::tokened && mark("k").empty()) return "-ERR this class needs a key\r\n";
+    double left = 0;
+    // An hour is longer than any client waits.
+    if (!number(mark("d"), -3.6e6, 3.6e6, left)) return "-ERR d is no time\r\n";
+    call.left = Span(std::llround(left * 1000));
+    if (!number(mark("units"), 0.0, 1e9, call.units)) return "-ERR units is no number\r\n";
+    const int gatekeepers = std::max(1, born.terms.gatekeepers);
+    if (!number(mark("spread"), 1, gatekeepers, call.spread))
+      return "-ERR spread is no number of gatekeepers\r\n";
+    if (!number(mark("first"), 0, gatekeepers - 1, call.first))
+      return "-ERR first is no gatekeeper's number\r\n";
+    call.repeat = mark("r") == "1";
+    return nullptr;
+  }
+
+  Call& place() {
+    line_.push_back(std::make_unique<Call>(this));
+    ++clients_.calls_;
+    clients_.conns_.splice(clients_.conns_.end(), clients_.conns_, place_);
+    Call& call = *line_.back();
+    call.id = 0;
+    return call;
+  }
+  void say(const char* text) { place().answer({text}); }
+
+  // Writes the answers at the head of the line. The parts are those of the first call there.
+  void advance(std::initializer_list<std::string_view> parts) {
+    put(parts);
+    drop_first();
+    while (!line_.empty() && line_.front()->answered_) {
+      put({line_.front()->late_});
+      drop_first();
+    }
+    if (!corked_) settle();
+  }
+  void put(std::initializer_list<std::string_view> parts) {
+    if (!corked_) return stream_.write(parts);
+    for (const std::string_view part : parts) batch_.append(part);
+  }
+  void drop_first() {
+    clients_.held_ -= line_.front()->weight_;
+    --clients_.calls_;
+    clients_.finished_.push_back(std::move(line_.front()));
+    line_.pop_front();
+  }
+  void settle() {
+    if (line_.size() < kMostCalls / 2 && stream_.unwritten() < kMostUnwritten / 2) stream_.resume();
+    if (clients_.drains_ && asked_ever() && idle()) leave("drain");
+    if (reason_ && line_.empty() && stream_.all_written()) finish();
+  }
+  // A half-closed connection: a close with unread bytes would be a reset, which eats answers under way.
+  void finish() {
+    if (linger_.set() || ended_) return;
+    stream_.end_sending();
+    linger_.in(kLinger);
+  }
+
+  Clients& clients_;
+  Stream stream_;
+  Address peer_;
+  Timer linger_;
+  std::deque<std::unique_ptr<Call>> line_;  // in the order of the commands
+  std::string batch_;
+  std::size_t commands_ = 0;
+  const char* reason_ = nullptr;  // why no more is taken
+  bool corked_ = false;
+  bool ended_ = false;
+};
+
+void Clients::Call::rate_limited(Span come_back) {
+  if (come_back <= Span(0)) return answer({"-BUSY\r\n"});
+  char text[32];
+  const auto end = std::to_chars(text, text + sizeof text,
+                                 std::chrono::ceil<std::chrono::milliseconds>(come_back).count());
+  answer({"-BUSY ", std::string_view(text, static_cast<std::size_t>(end.ptr - text)), "\r\n"});
+}
+
+void Clients::Call::answer(std::initializer_list<std::string_view> parts) {
+  if (answered_) return;
+  answered_ = true;
+  if (!conn_) return;
+  if (conn_->line_.front().get() == this) return conn_->advance(parts);
+  for (const std::string_view part : parts) late_.append(part);
+}
+
+Clients::Clients(Loop& loop, const Address& address, const Born& born, std::size_t descriptors,
+                 std::size_t memory, Listener& listener)
+    : loop_(loop),
+      born_(born),
+      listener_(listener),
+      socket_(listen_at(address)),
+      token_(0),
+      most_(std::max<std::size_t>(descriptors, 1)),
+      memory_(memory),
+      retry_(loop, [this] { accept_all(); }),
+      draining_(loop, [this] { look_at_drain(); }) {
+  if (!socket_) throw std::system_error(errno, std::generic_category(), "listening at " + text_of(address));
+  token_ = loop.watch(socket_.get(), *this);
+}
+
+Clients::~Clients() { loop_.drop(token_); }
+
+void Clients::ready(std::uint32_t) { accept_all(); }
+
+void Clients::accept_all() {
+  // A flood of connections takes turns with the rest.
+  for (int turns = 0; turns < 64; ++turns) {
+    if (conns_.size() >= most_ && !make_room()) return;
+    Address peer{};
+    Fd fd = accept_from(socket_, peer);
+    if (!fd) {
+      // Out of descriptors or memory: again when some may be free. A connection that broke is passed over.
+      if (errno == ECONNABORTED || errno == EINTR) continue;
+      if (errno != EAGAIN && !retry_.set()) {
+        log("accept failed errno=%d clients=%zu", errno, conns_.size());
+        retry_.in(50ms);
+      }
+      return;
+    }
+    last_accept_ = loop_.now();
+    conns_.push_back(std::make_unique<Conn>(*this, std::move(fd), peer));
+    conns_.back()->place_ = std::prev(conns_.end());
+  }
+  loop_.again(token_, EPOLLIN);
+}
+
+// Closes the connection that was idle for longest; if there is none, those that end make room.
+bool Clients::make_room() {
+  for (auto& conn : conns_) {
+    if (!conn->idle()) continue;
+    conn->end("descriptors");
+    return true;
+  }
+  return false;
+}
+
+void Clients::drain(std::function<void()> done) {
+  if (drains_) return;
+  drains_ = true;
+  drained_ = std::move(done);
+  drain_began_ = loop_.now();
+  draining_.in(kTakeOn);
+}
+
+void Clients::look_at_drain() {
+  const Span now = loop_.now();
+  accept_all();
+  for (auto next = conns_.begin(); next != conns_.end();) {
+    Conn& conn = **next++;
+    // What came in since its last event is a command like any other.
+    conn.ready(EPOLLIN | EPOLLRDHUP);
+    if (conn.idle()) conn.leave("drain");
+  }
+  const bool coming = now - std::max(last_accept_, drain_began_) < kTakeOn;
+  // One that never finishes its command does not hold the end up.
+  const bool late = now - drain_began_ > kTakeOn + 2 * kLinger;
+  if (coming || calls_ > 0 || (!conns_.empty() && !late)) return draining_.in(20ms);
+  std::exchange(drained_, nullptr)();
+}
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/clients.hpp
@@ -0,0 +1,60 @@
+// The client side: takes API calls in and gives their answers back, in the order of the commands.
+#pragma once
+#include <list>
+#include <memory>
+#include <vector>
+
+#include "decode_terms.hpp"
+#include "exchange.hpp"
+#include "loop.hpp"
+#include "socket.hpp"
+
+namespace ironquay::net {
+
+class Clients : Loop::Handler {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    // The exchange lives until it is answered or its client has left.
+    virtual void call_came(Exchange& exchange) = 0;
+    virtual void client_left(Exchange& exchange) = 0;
+  };
+
+  // Throws std::system_error where the address cannot be listened at.
+  Clients(Loop& loop, const Address& address, const Born& born, std::size_t descriptors, std::size_t memory,
+          Listener& listener);
+  ~Clients() override;
+  // Takes on for as long as connections come, ends each between commands, then calls `done` once.
+  void drain(std::function<void()> done);
+
+ private:
+  class Conn;
+  class Call;
+  using Conns = std::list<std::unique_ptr<Conn>>;
+
+  void ready(std::uint32_t events) override;
+  void accept_all();
+  bool make_room();
+  void look_at_drain();
+
+  Loop& loop_;
+  const Born& born_;
+  Listener& listener_;
+  Fd socket_;
+  Loop::Token token_;
+  std::size_t most_;    // connections
+  std::size_t memory_;  // bytes of API calls held and answers not taken
+  std::size_t held_ = 0;
+  std::size_t calls_ = 0;
+  Conns conns_;  // the one used last stands last
+  std::vector<std::unique_ptr<Call>> finished_;
+  Timer retry_;
+  Timer draining_;
+  std::function<void()> drained_;
+  Span drain_began_{0};
+  Span last_accept_{0};
+  bool drains_ = false;
+};
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/config.hpp
@@ -0,0 +1,31 @@
+// What a gatekeeper is told at its start, by GW_CONFIG and the variables beside it.
+#pragma once
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "decode_terms.hpp"
+#include "socket.hpp"
+
+namespace ironquay::net {
+
+struct Told {
+  std::string name;
+  Address listen;
+  Address discovery;
+  std::uint64_t seed = 0;
+  std::size_t descriptors = 0;
+  std::size_t memory = 0;  // bytes
+  std::optional<Address> peer_listen;
+  std::vector<Address> peers;
+  std::optional<Address> peers_all;
+  std::optional<Address> counter;
+  nlohmann::json known;
+  Born born;
+};
+
+// From the environment. Throws std::runtime_error with one line on what is missing or unreadable.
+Told read_config();
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/gatekeeper.cpp
@@ -0,0 +1,163 @@
+#include "gatekeeper.hpp"
+
+#include "log.hpp"
+
+namespace ironquay::net {
+namespace {
+
+// Epoll, signals, list, counter, peers, the listener, the three standard ones, and room for a moment's
+// overlap.
+constexpr std::size_t kOwnDescriptors = 24;
+
+std::size_t connections(const Told& told) {
+  return told.descriptors > 2 * kOwnDescriptors ? told.descriptors - kOwnDescriptors : kOwnDescriptors;
+}
+
+}  // namespace
+
+// Clients may get five eighths of the connections: a call held has one of theirs, and one at a worker at most
+// while it is out, so that a worker's lack shows as a wait of its calls and never as calls not taken.
+Gatekeeper::Gatekeeper(Loop& loop, Told told)
+    : loop_(loop),
+      told_(std::move(told)),
+      choice_(told_.born.terms, static_cast<std::uint32_t>(told_.seed ^ (told_.seed >> 32)), loop.now(),
+              *this),
+      wake_(loop, [this] { drive([this] { choice_.wakes(loop_.now()); }); }),
+      clients_(loop, told_.listen, told_.born, connections(told_) * 5 / 8, told_.memory / 4, *this),
+      servers_(loop, told_.born.links, connections(told_) * 3 / 8, *this),
+      list_(loop, told_.discovery, *this) {
+  list_.known(told_.known);
+  list_.watch();
+  if (told_.counter && told_.born.terms.permits.counter)
+    counter_ = std::make_unique<Counter>(loop, *told_.counter, told_.born.terms.permits.counter_limit, *this);
+  if (told_.peer_listen)
+    peers_ = std::make_unique<Peers>(loop, *told_.peer_listen, told_.peers, told_.peers_all, *this);
+}
+
+void Gatekeeper::drain() {
+  clients_.drain([this] { loop_.stop(); });
+}
+
+// What the decisions cause may end at once and is then news to them, but only after they are through.
+template <typename Event>
+void Gatekeeper::drive(Event event) {
+  if (deciding_) return later_.emplace_back(std::move(event)), void();
+  deciding_ = true;
+  event();
+  while (!later_.empty()) {
+    later_.front()();
+    later_.pop_front();
+  }
+  deciding_ = false;
+}
+
+Exchange* Gatekeeper::taken(CallId call) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return nullptr;
+  Exchange* exchange = found->second;
+  calls_.erase(found);
+  return exchange;
+}
+
+void Gatekeeper::send(CallId call, WorkerId worker, Span limit) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  servers_.send(*found->second, found->second->tries++, worker, limit);
+}
+
+void Gatekeeper::rate_limit(CallId call, Span come_back) {
+  if (Exchange* exchange = taken(call)) exchange->rate_limited(come_back);
+}
+
+void Gatekeeper::error(CallId call) {
+  if (Exchange* exchange = taken(call)) exchange->errored();
+}
+
+void Gatekeeper::cancel(CallId call, std::size_t upstream_try) { servers_.cancel(call, upstream_try); }
+void Gatekeeper::wake_at(Span when) { wake_.at(when); }
+void Gatekeeper::probe(WorkerId worker) { servers_.probe(worker); }
+void Gatekeeper::close_idle(WorkerId worker) { servers_.close_idle(worker); }
+void Gatekeeper::tell(int peer, std::string_view bytes) {
+  if (peers_) peers_->tell(peer, bytes);
+}
+void Gatekeeper::tell_all(std::string_view bytes) {
+  if (peers_) peers_->tell_all(bytes);
+}
+// The watch is there from the start and mends itself.
+void Gatekeeper::subscribe(bool) {}
+void Gatekeeper::fetch_list() { list_.refresh(); }
+void Gatekeeper::count(std::string_view name, double amount, Span lives) {
+  if (counter_) return counter_->count(name, amount, lives);
+  count_ended(name, Outcome::no_route, 0);
+}
+void Gatekeeper::note(std::string_view text) { log("note %.*s", static_cast<int>(text.size()), text.data()); }
+
+void Gatekeeper::call_came(Exchange& exchange) {
+  exchange.id = ++last_id_;
+  calls_.emplace(exchange.id, &exchange);
+  drive([this, &exchange] {
+    choice_.call_arrives(loop_.now(), exchange.id, exchange.customer, exchange.route, exchange.plan,
+                         exchange.units, exchange.first, exchange.spread, exchange.left, exchange.repeat);
+  });
+}
+
+void Gatekeeper::client_left(Exchange& exchange) {
+  const CallId id = exchange.id;
+  if (taken(id)) drive([this, id] { choice_.client_leaves(loop_.now(), id); });
+}
+
+void Gatekeeper::try_ended(CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
+                           std::string_view value, double true_units) {
+  bool finished = !calls_.contains(call);
+  if (outcome == Outcome::passed && !finished) {
+    taken(call)->proxied(value);
+    finished = true;
+  }
+  drive([=, this] {
+    choice_.try_ends(loop_.now(), call, upstream_try, worker, outcome, took, finished, true_units);
+  });
+}
+
+void Gatekeeper::probe_ended(WorkerId worker, Outcome outcome, Span took) {
+  drive([=, this] { choice_.probe_ends(loop_.now(), worker, outcome, took); });
+}
+
+void Gatekeeper::list_opened(ListKind kind) {
+  drive([=, this] { choice_.list_opens(loop_.now(), kind); });
+}
+
+// FNV-1a of the name: the same id at every gatekeeper, whatever order they hear of the workers in.
+WorkerId Gatekeeper::id_of(std::string_view host) {
+  const auto found = ids_.find(std::string(host));
+  if (found != ids_.end()) return found->second;
+  WorkerId id = 2166136261u;
+  for (const unsigned char c : host) id = (id ^ c) * 16777619u;
+  while (hosts_.contains(id)) ++id;
+  hosts_.emplace(id, host);
+  ids_.emplace(host, id);
+  return id;
+}
+
+void Gatekeeper::worker_named(std::string_view host, const Address& address, Phase phase,
+                              std::string_view zone, std::int64_t cell, double share, Span started) {
+  const WorkerId id = id_of(host);
+  if (phase != Phase::ready) servers_.close_idle(id);
+  if (phase == Phase::ready) servers_.worker_at(id, address);
+  drive([&, this] { choice_.list_names(loop_.now(), id, phase, zone, cell, share, started); });
+}
+
+void Gatekeeper::list_closed() {
+  drive([this] { choice_.list_closes(loop_.now()); });
+}
+
+void Gatekeeper::count_ended(std::string_view name, Outcome outcome, double total) {
+  drive([this, name = std::string(name), outcome, total] {
+    choice_.count_ends(loop_.now(), name, outcome, total);
+  });
+}
+
+void Gatekeeper::peer_said(int peer, std::string_view bytes) {
+  drive([&, this] { choice_.peer_says(loop_.now(), peer, bytes); });
+}
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/gatekeeper.hpp
@@ -0,0 +1,83 @@
+// Puts the decisions between the two sides: tells Choice what happens and carries out what it wants.
+#pragma once
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "choice.hpp"
+#include "clients.hpp"
+#include "config.hpp"
+#include "counter.hpp"
+#include "list.hpp"
+#include "loop.hpp"
+#include "peers.hpp"
+#include "servers.hpp"
+
+namespace ironquay::net {
+
+class Gatekeeper : public Effects,
+                   public Clients::Listener,
+                   public Servers::Listener,
+                   public List::Listener,
+                   public Counter::Listener,
+                   public Peers::Listener {
+ public:
+  Gatekeeper(Loop& loop, Told told);
+  // Finishes what is held and stops the loop.
+  void drain();
+
+ private:
+  // What the decisions want.
+  void send(CallId call, WorkerId worker, Span limit) override;
+  void rate_limit(CallId call, Span come_back) override;
+  void error(CallId call) override;
+  void cancel(CallId call, std::size_t upstream_try) override;
+  void wake_at(Span when) override;
+  void probe(WorkerId worker) override;
+  void close_idle(WorkerId worker) override;
+  void tell(int peer, std::string_view bytes) override;
+  void tell_all(std::string_view bytes) override;
+  void subscribe(bool on) override;
+  void fetch_list() override;
+  void count(std::string_view name, double amount, Span lives) override;
+  void note(std::string_view text) override;
+
+  // What happens.
+  void call_came(Exchange& exchange) override;
+  void client_left(Exchange& exchange) override;
+  void try_ended(CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
+                 std::string_view value, double true_units) override;
+  void probe_ended(WorkerId worker, Outcome outcome, Span took) override;
+  void list_opened(ListKind kind) override;
+  void worker_named(std::string_view host, const Address& address, Phase phase, std::string_view zone,
+                    std::int64_t cell, double share, Span started) override;
+  void list_closed() override;
+  void count_ended(std::string_view name, Outcome outcome, double total) override;
+  void peer_said(int peer, std::string_view bytes) override;
+
+  template <typename Event>
+  void drive(Event event);
+  WorkerId id_of(std::string_view host);
+  Exchange* taken(CallId call);
+
+  Loop& loop_;
+  Told told_;
+  Choice choice_;
+  std::unordered_map<CallId, Exchange*> calls_;  // that are owed an answer
+  std::unordered_map<std::string, WorkerId> ids_;
+  std::unordered_map<WorkerId, std::string> hosts_;
+  CallId last_id_ = 0;
+  bool deciding_ = false;
+  std::deque<std::function<void()>> later_;  // what happened while the decisions were being made
+  Timer wake_;
+  Clients clients_;
+  Servers servers_;
+  List list_;
+  std::unique_ptr<Counter> counter_;
+  std::unique_ptr<Peers> peers_;
+};
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/loop.hpp
@@ -0,0 +1,88 @@
+// One thread's loop: descriptors, timers and the clock.
+#pragma once
+#include <sys/epoll.h>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "socket.hpp"
+#include "terms.hpp"
+
+namespace ironquay::net {
+
+class Timer;
+
+class Loop {
+ public:
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    virtual void ready(std::uint32_t events) = 0;
+  };
+  // What a descriptor is known by. An event that was on its way when it was dropped reaches nobody.
+  using Token = std::uint64_t;
+
+  Loop();
+  Span now() const { return now_; }
+  Token watch(int fd, Handler& handler);
+  void drop(Token token);
+  // Calls the handler again in the next round: it stopped before its descriptor had nothing more.
+  void again(Token token, std::uint32_t events) { again_.emplace_back(token, events); }
+  // Destroyed when the round is over, as its own call may be what runs now.
+  void bury(std::unique_ptr<Handler> handler) { buried_.push_back(std::move(handler)); }
+  void run();
+  void stop() { running_ = false; }
+  // Read into by whoever is called; what is there counts until that call returns.
+  std::array<char, 64 * 1024>& scratch() { return *scratch_; }
+
+ private:
+  friend class Timer;
+  struct Place {
+    Handler* handler = nullptr;
+    std::uint32_t age = 0;
+  };
+  void call(Token token, std::uint32_t events);
+  void tick();
+  void fire_due();
+  int patience() const;
+  void sift(std::size_t at);
+  void put(std::size_t at, Timer* timer);
+
+  Fd epoll_;
+  Span now_{0};
+  std::chrono::steady_clock::time_point ticked_;
+  std::vector<Place> places_;
+  std::vector<std::uint32_t> free_places_;
+  std::vector<std::pair<Token, std::uint32_t>> again_;
+  std::vector<std::unique_ptr<Handler>> buried_;
+  std::vector<Timer*> timers_;  // a heap, the earliest first
+  std::unique_ptr<std::array<char, 64 * 1024>> scratch_;
+  bool running_ = true;
+};
+
+class Timer {
+ public:
+  Timer(Loop& loop, std::function<void()> fire) : loop_(loop), fire_(std::move(fire)) {}
+  ~Timer() { stop(); }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  void at(Span when);
+  void in(Span wait) { at(loop_.now() + wait); }
+  void stop();
+  bool set() const { return place_ != kNowhere; }
+  Span when() const { return when_; }
+
+ private:
+  friend class Loop;
+  static constexpr std::size_t kNowhere = static_cast<std::size_t>(-1);
+  Loop& loop_;
+  std::function<void()> fire_;
+  Span when_{0};
+  std::size_t place_ = kNowhere;
+};
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/peers.hpp
@@ -0,0 +1,39 @@
+// Short messages between the gatekeepers of a tier.
+#pragma once
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "loop.hpp"
+#include "socket.hpp"
+
+namespace ironquay::net {
+
+class Peers : Loop::Handler {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    virtual void peer_said(int peer, std::string_view bytes) = 0;
+  };
+
+  // Throws std::system_error where the address cannot be listened at.
+  Peers(Loop& loop, const Address& listen, std::vector<Address> peers, std::optional<Address> all,
+        Listener& listener);
+  ~Peers() override;
+  void tell(int peer, std::string_view bytes);
+  void tell_all(std::string_view bytes);
+
+ private:
+  void ready(std::uint32_t events) override;
+  void send(const Address& address, std::string_view bytes);
+
+  Loop& loop_;
+  Fd socket_;
+  Loop::Token token_;
+  std::vector<Address> peers_;
+  std::optional<Address> all_;
+  Listener& listener_;
+};
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/resp.cpp
@@ -0,0 +1,118 @@
+#include "resp.hpp"
+
+#include <charconv>
+
+namespace ironquay::net::resp {
+namespace {
+
+// The line that starts at `at`, without its end; `at` moves behind it.
+Parsed line(std::string_view bytes, std::size_t& at, std::string_view& text) {
+  const auto end = bytes.find('\n', at);
+  if (end == std::string_view::npos)
+    return bytes.size() - at > kMostLine ? Parsed::malformed : Parsed::partial;
+  if (end == at || bytes[end - 1] != '\r' || end - at > kMostLine) return Parsed::malformed;
+  text = bytes.substr(at, end - 1 - at);
+  at = end + 1;
+  return Parsed::whole;
+}
+
+Parsed count(std::string_view bytes, std::size_t& at, char type, long most, long& value) {
+  if (at >= bytes.size()) return Parsed::partial;
+  if (bytes[at] != type) return Parsed::malformed;
+  // A length has few digits: a line without end is known as such early.
+  constexpr std::size_t kMostDigits = 16;
+  std::string_view text;
+  std::size_t behind = at + 1;
+  const Parsed how = line(bytes, behind, text);
+  if (how == Parsed::partial && bytes.size() - at > kMostDigits) return Parsed::malformed;
+  if (how != Parsed::whole) return how;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size() || value < -1 || value > most)
+    return Parsed::malformed;
+  at = behind;
+  return Parsed::whole;
+}
+
+Parsed bulk(std::string_view bytes, std::size_t& at, Part& part) {
+  const std::size_t start = at;
+  long size = 0;
+  if (const Parsed how = count(bytes, at, '$', kMostValue, size); how != Parsed::whole) return how;
+  part.null = size < 0;
+  if (!part.null) {
+    const auto length = static_cast<std::size_t>(size);
+    if (bytes.size() - at < length + 2) return Parsed::partial;
+    part.text = bytes.substr(at, length);
+    if (bytes.substr(at + length, 2) != "\r\n") return Parsed::malformed;
+    at += length + 2;
+  }
+  part.raw = bytes.substr(start, at - start);
+  return Parsed::whole;
+}
+
+}  // namespace
+
+Parsed parse_command(std::string_view bytes, Command& command) {
+  long words = 0;
+  std::size_t at = 0;
+  if (const Parsed how = count(bytes, at, '*', kMostWords, words); how != Parsed::whole) return how;
+  if (words < 1) return Parsed::malformed;
+  command.count = static_cast<std::size_t>(words);
+  for (std::size_t i = 0; i < command.count; ++i) {
+    Part part;
+    if (const Parsed how = bulk(bytes, at, part); how != Parsed::whole) return how;
+    if (part.null) return Parsed::malformed;
+    command.words[i] = part.text;
+  }
+  command.bytes = at;
+  return Parsed::whole;
+}
+
+Parsed parse_reply(std::string_view bytes, Reply& reply) {
+  if (bytes.empty()) return Parsed::partial;
+  reply = Reply();
+  reply.type = bytes[0];
+  std::size_t at = 0;
+  if (reply.type == '*') {
+    long parts = 0;
+    if (const Parsed how = count(bytes, at, '*', static_cast<long>(reply.parts.size()), parts);
+        how != Parsed::whole)
+      return how;
+    reply.null = parts < 0;
+    reply.count = parts < 0 ? 0 : static_cast<std::size_t>(parts);
+    for (std::size_t i = 0; i < reply.count; ++i)
+      if (const Parsed how = bulk(bytes, at, reply.parts[i]); how != Parsed::whole) return how;
+  } else if (reply.type == '$') {
+    Part part;
+    if (const Parsed how = bulk(bytes, at, part); how != Parsed::whole) return how;
+    reply.text = part.text;
+    reply.null = part.null;
+  } else if (reply.type == '+' || reply.type == '-' || reply.type == ':') {
+    at = 1;
+    if (const Parsed how = line(bytes, at, reply.text); how != Parsed::whole) return how;
+  } else {
+    return Parsed::malformed;
+  }
+  reply.bytes = at;
+  return Parsed::whole;
+}
+
+std::string_view field(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const auto comma = list.find(',');
+    const std::string_view one = list.substr(0, comma);
+    if (one.size() > name.size() && one[name.size()] == '=' && one.substr(0, name.size()) == name)
+      return one.substr(name.size() + 1);
+    list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+  }
+  return {};
+}
+
+void append_count(std::string& out, std::size_t words) {
+  out.append("*").append(std::to_string(words)).append("\r\n");
+}
+
+void append_word(std::string& out, std::string_view word) {
+  out.append("$").append(std::to_string(word.size())).append("\r\n").append(word).append("\r\n");
+}
+
+}  // namespace ironquay::net::resp
--- /dev/null
+++ b/src/net/resp.hpp
@@ -0,0 +1,43 @@
+// RESP2, as far as it is spoken here. The parsers look at bytes that may not be whole yet and give slices.
+#pragma once
+#include <array>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace ironquay::net::resp {
+
+enum class Parsed { whole, partial, malformed };
+
+// A value holds so much at most; a command has seven words at most by the protocol, the rest is room.
+constexpr std::size_t kMostValue = 64 * 1024, kMostWords = 16, kMostLine = 4096;
+
+struct Command {
+  std::array<std::string_view, kMostWords> words;
+  std::size_t count = 0;
+  std::size_t bytes = 0;  // that it took
+};
+Parsed parse_command(std::string_view bytes, Command& command);
+
+struct Part {
+  std::string_view text;
+  std::string_view raw;  // as it stood on the wire
+  bool null = false;
+};
+struct Reply {
+  char type = 0;          // of RESP2: + - : $ *
+  std::string_view text;  // of all but an array
+  bool null = false;
+  std::array<Part, 4> parts;  // of an array of bulk strings
+  std::size_t count = 0;
+  std::size_t bytes = 0;
+};
+Parsed parse_reply(std::string_view bytes, Reply& reply);
+
+// The value behind `name=` in a list such as "used=37,cost=4"; empty if it is not there.
+std::string_view field(std::string_view list, std::string_view name);
+
+void append_word(std::string& out, std::string_view word);
+void append_count(std::string& out, std::size_t words);
+
+}  // namespace ironquay::net::resp
--- /dev/null
+++ b/src/net/servers.cpp
@@ -0,0 +1,250 @@
+#include "servers.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+
+#include "log.hpp"
+#include "resp.hpp"
+#include "stream.hpp"
+
+namespace ironquay::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The client's words, but for `d`, which tells how long this gatekeeper waits.
+void append_marks(std::string& out, std::string_view marks, Span limit) {
+  const std::string_view told = resp::field(marks, "d");
+  const auto at = static_cast<std::size_t>(told.data() - marks.data());
+  const auto wait = std::max<long>(1, std::chrono::ceil<std::chrono::milliseconds>(limit).count());
+  char digits[24];
+  const auto end = std::to_chars(digits, digits + sizeof digits, wait);
+  const std::string_view ours(digits, static_cast<std::size_t>(end.ptr - digits));
+  out.append("$").append(std::to_string(marks.size() - told.size() + ours.size())).append("\r\n");
+  out.append(marks.substr(0, at)).append(ours).append(marks.substr(at + told.size())).append("\r\n");
+}
+
+}  // namespace
+
+class Servers::Conn : public Loop::Handler {
+ public:
+  enum class Use { idle, upstream_try, probe };
+
+  Conn(Servers& servers, WorkerId worker, Fd fd, const Address& address)
+      : servers_(servers),
+        worker_(worker),
+        address_(address),
+        stream_(servers.loop_, std::move(fd), *this, false),
+        limit_(servers.loop_, [this] { too_long(); }),
+        opened_(servers.loop_.now()) {}
+
+  void start(CallId call, std::size_t upstream_try, Span limit,
+             std::initializer_list<std::string_view> parts) {
+    begin(Use::upstream_try, limit);
+    call_ = call;
+    try_ = upstream_try;
+    servers_.out_.emplace(key(call, upstream_try), this);
+    stream_.write(parts);
+  }
+  void start_probe(Span limit) {
+    begin(Use::probe, limit);
+    stream_.write({"*1\r\n$4\r\nPING\r\n"});
+  }
+
+  void ready(std::uint32_t events) override {
+    if (!stream_.up()) {
+      if (!stream_.connected(events)) {
+        if (stream_.end() != End::open) end("refused", Outcome::no_route);
+        return;
+      }
+      if (use_ != Use::idle) limit_.at(due_);
+    }
+    if (events & EPOLLOUT) stream_.flush();
+    stream_.read(events, [&](std::string_view bytes) { return take(bytes); });
+    if (stream_.end() == End::open && !(events & (EPOLLERR | EPOLLHUP))) return;
+    // Broken before the last byte was written: the worker never began it.
+    const bool written = stream_.up() && stream_.all_written();
+    end(stream_.end() == End::peer_closed ? "worker-eof" : "worker-reset",
+        written ? Outcome::cut : Outcome::no_route);
+  }
+
+  void end(const char* reason, Outcome outcome) {
+    if (ended_) return;
+    ended_ = true;
+    log("end peer=worker addr=%s reason=%s tries=%zu out=%d", text_of(address_).c_str(), reason, tries_,
+        use_ != Use::idle);
+    stream_.close();
+    limit_.stop();
+    std::erase(servers_.workers_.at(worker_).idle, this);
+    const auto own = std::find_if(servers_.conns_.begin(), servers_.conns_.end(),
+                                  [&](const auto& one) { return one.get() == this; });
+    servers_.loop_.bury(std::move(*own));
+    std::swap(*own, servers_.conns_.back());
+    servers_.conns_.pop_back();
+    if (use_ != Use::idle) finish(outcome, {}, 0);
+  }
+
+  Span idle_since() const { return use_ == Use::idle ? began_ : Span::max(); }
+  const Address& address() const { return address_; }
+
+ private:
+  void begin(Use use, Span limit) {
+    use_ = use;
+    began_ = servers_.loop_.now();
+    due_ = began_ + limit;
+    ++tries_;
+    limit_.at(stream_.up() ? due_ : std::min(due_, opened_ + servers_.links_.connect_timeout));
+  }
+
+  void too_long() {
+    if (!stream_.up()) return end("no-connection", Outcome::no_route);
+    end("timed-out", stream_.all_written() ? Outcome::timed_out : Outcome::no_route);
+  }
+
+  std::size_t take(std::string_view bytes) {
+    if (ended_) return bytes.size();
+    resp::Reply reply;
+    const resp::Parsed how = resp::parse_reply(bytes, reply);
+    if (how == resp::Parsed::partial) return 0;
+    // Nothing was asked, or an answer has more behind it: what follows can belong to no try.
+    const bool whole = how == resp::Parsed::whole && use_ != Use::idle && reply.bytes == bytes.size();
+    if (!whole) {
+      end("bad-answer", Outcome::cut);
+      return bytes.size();
+    }
+    if (reply.type == '-' && reply.text != "BUSY" && reply.text.substr(0, 4) != "BUSY" &&
+        reply.text.substr(0, 10) != "ERR failed")
+      log("worker says addr=%s error='%.*s'", text_of(address_).c_str(),
+          static_cast<int>(std::min<std::size_t>(reply.text.size(), 80)), reply.text.data());
+    limit_.stop();
+    if (use_ == Use::probe) {
+      finish(reply.type == '+' ? Outcome::passed : Outcome::errored, {}, 0);
+    } else if (reply.type == '*' && reply.count >= 1 && !reply.parts[0].null) {
+      double units = 0;
+      const std::string_view cost =
+          reply.count > 1 ? resp::field(reply.parts[1].text, "cost") : std::string_view();
+      std::from_chars(cost.data(), cost.data() + cost.size(), units);
+      finish(Outcome::passed, reply.parts[0].raw, units);
+    } else {
+      const bool busy = reply.type == '-' && reply.text.substr(0, 4) == "BUSY";
+      finish(busy ? Outcome::no_room : Outcome::errored, {}, 0);
+    }
+    return bytes.size();
+  }
+
+  // Free for the next before the listener hears of it, which may send on at once.
+  void finish(Outcome outcome, std::string_view value, double units) {
+    const Use use = std::exchange(use_, Use::idle);
+    const Span took = servers_.loop_.now() - began_;
+    began_ = servers_.loop_.now();
+    if (!ended_) servers_.workers_.at(worker_).idle.push_back(this);
+    if (use == Use::probe) return servers_.listener_.probe_ended(worker_, outcome, took);
+    servers_.out_.erase(key(call_, try_));
+    servers_.listener_.try_ended(call_, try_, worker_, outcome, took, value, units);
+  }
+
+  Servers& servers_;
+  WorkerId worker_;
+  Address address_;
+  Stream stream_;
+  Timer limit_;
+  Span opened_;
+  Use use_ = Use::idle;
+  CallId call_ = 0;
+  std::size_t try_ = 0;
+  Span began_{0};  // the try, or the idle time
+  Span due_{0};
+  std::size_t tries_ = 0;
+  bool ended_ = false;
+};
+
+Servers::Servers(Loop& loop, const Links& links, std::size_t descriptors, Listener& listener)
+    : loop_(loop),
+      links_(links),
+      most_(std::max<std::size_t>(descriptors, 1)),
+      listener_(listener),
+      sweep_(loop, [this] { close_old(); }) {
+  sweep_.in(1s);
+}
+
+Servers::~Servers() = default;
+
+void Servers::worker_at(WorkerId id, const Address& address) {
+  Worker& worker = workers_[id];
+  if (same(worker.address, address)) return;
+  worker.address = address;
+  close_idle(id);
+}
+
+Servers::Conn* Servers::connection_to(WorkerId id) {
+  Worker& worker = workers_.at(id);
+  if (!worker.idle.empty()) {
+    Conn* conn = worker.idle.back();
+    worker.idle.pop_back();
+    return conn;
+  }
+  if (conns_.size() >= most_ && !make_room()) return nullptr;
+  Fd fd = connect_to(worker.address);
+  if (!fd) return nullptr;
+  conns_.push_back(std::make_unique<Conn>(*this, id, std::move(fd), worker.address));
+  return conns_.back().get();
+}
+
+// The connection idle for longest gives way.
+bool Servers::make_room() {
+  const auto oldest = std::min_element(conns_.begin(), conns_.end(), [](const auto& a, const auto& b) {
+    return a->idle_since() < b->idle_since();
+  });
+  if (oldest == conns_.end() || (*oldest)->idle_since() == Span::max()) return false;
+  (*oldest)->end("descriptors", Outcome::cancelled);
+  return true;
+}
+
+void Servers::send(const Exchange& exchange, std::size_t upstream_try, WorkerId worker, Span limit) {
+  errno = 0;
+  Conn* conn = connection_to(worker);
+  if (!conn) {
+    // What this gatekeeper lacks is no word on the worker.
+    const bool refused = errno == ECONNREFUSED || errno == ENETUNREACH || errno == EHOSTUNREACH;
+    if (!refused) log("no connection left workers=%zu errno=%d", conns_.size(), errno);
+    return listener_.try_ended(exchange.id, upstream_try, worker,
+                               refused ? Outcome::no_route : Outcome::not_sent, Span(0), {}, 0);
+  }
+  head_.clear();
+  resp::append_count(head_, exchange.has_body ? 5 : 4);
+  for (const std::string_view word : {exchange.verb, exchange.customer, exchange.tag})
+    resp::append_word(head_, word);
+  append_marks(head_, exchange.marks, limit);
+  if (!exchange.has_body) return conn->start(exchange.id, upstream_try, limit, {head_});
+  head_.append("$").append(std::to_string(exchange.body.size())).append("\r\n");
+  conn->start(exchange.id, upstream_try, limit, {head_, exchange.body, "\r\n"});
+}
+
+void Servers::cancel(CallId call, std::size_t upstream_try) {
+  const auto found = out_.find(key(call, upstream_try));
+  if (found != out_.end()) found->second->end("cancelled", Outcome::cancelled);
+}
+
+void Servers::probe(WorkerId worker) {
+  Conn* conn = connection_to(worker);
+  if (!conn) return listener_.probe_ended(worker, Outcome::no_route, Span(0));
+  conn->start_probe(links_.connect_timeout);
+}
+
+void Servers::close_idle(WorkerId id) {
+  const auto found = workers_.find(id);
+  if (found == workers_.end()) return;
+  while (!found->second.idle.empty()) found->second.idle.back()->end("not-needed", Outcome::cancelled);
+}
+
+// The worker's machine closes at the idle time at the latest; half of it is well before.
+void Servers::close_old() {
+  sweep_.in(1s);
+  const Span oldest = loop_.now() - links_.idle_close / 2;
+  for (std::size_t i = conns_.size(); i-- > 0;) {
+    if (i < conns_.size() && conns_[i]->idle_since() < oldest) conns_[i]->end("idle", Outcome::cancelled);
+  }
+}
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/servers.hpp
@@ -0,0 +1,61 @@
+// The server side: upstream tries on connections to the workers, one at a time on each.
+#pragma once
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "decode_terms.hpp"
+#include "exchange.hpp"
+#include "loop.hpp"
+#include "socket.hpp"
+#include "state.hpp"
+
+namespace ironquay::net {
+
+class Servers {
+ public:
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+    // The value, as it stood on the wire, and the true units where a worker gave them. May come from within
+    // send(), cancel() and probe().
+    virtual void try_ended(CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
+                           std::string_view value, double true_units) = 0;
+    virtual void probe_ended(WorkerId worker, Outcome outcome, Span took) = 0;
+  };
+
+  Servers(Loop& loop, const Links& links, std::size_t descriptors, Listener& listener);
+  ~Servers();
+
+  void worker_at(WorkerId worker, const Address& address);
+  void send(const Exchange& exchange, std::size_t upstream_try, WorkerId worker, Span limit);
+  void cancel(CallId call, std::size_t upstream_try);
+  void probe(WorkerId worker);
+  void close_idle(WorkerId worker);
+
+ private:
+  class Conn;
+  struct Worker {
+    Address address{};
+    std::vector<Conn*> idle;  // the one used last stands last
+  };
+
+  Conn* connection_to(WorkerId id);
+  bool make_room();
+  void close_old();
+  static std::uint64_t key(CallId call, std::size_t upstream_try) { return call << 8 | (upstream_try & 255); }
+
+  Loop& loop_;
+  Links links_;
+  std::size_t most_;  // connections
+  Listener& listener_;
+  std::unordered_map<WorkerId, Worker> workers_;
+  std::unordered_map<std::uint64_t, Conn*> out_;  // by API call and upstream try
+  std::vector<std::unique_ptr<Conn>> conns_;
+  std::string head_;
+  Timer sweep_;
+};
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/socket.hpp
@@ -0,0 +1,42 @@
+// Descriptors, addresses and the calls that make sockets of them.
+#pragma once
+#include <netinet/in.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace ironquay::net {
+
+class Fd {
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  ~Fd();
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+
+ private:
+  int fd_ = -1;
+};
+
+using Address = sockaddr_in;
+
+// "127.0.0.1:6379": an IPv4 address in figures and a port; there are no names on the platform.
+std::optional<Address> parse_address(std::string_view text);
+std::string text_of(const Address& address);
+bool same(const Address& a, const Address& b);
+
+// All are non-blocking and closed on exec; empty with errno set where the system says no.
+Fd listen_at(const Address& address);
+Fd accept_from(const Fd& listener, Address& peer);
+Fd connect_to(const Address& address);
+Fd datagrams_at(const Address& address);
+
+}  // namespace ironquay::net
--- /dev/null
+++ b/src/net/stream.hpp
@@ -0,0 +1,69 @@
+// A TCP connection's bytes: what was read and not yet taken, what waits to be written.
+#pragma once
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "loop.hpp"
+#include "socket.hpp"
+
+namespace ironquay::net {
+
+// Why a connection ended; the log's reason codes.
+enum class End { open, peer_closed, reset, closed_by_us };
+
+class Stream {
+ public:
+  Stream(Loop& loop, Fd fd, Loop::Handler& owner, bool connected)
+      : loop_(loop), fd_(std::move(fd)), token_(loop.watch(fd_.get(), owner)), connected_(connected) {}
+  ~Stream() { loop_.drop(token_); }
+
+  // Reads until nothing is left or the fair bound is met, and hands all that stands unread to `take`, which
+  // returns how many bytes it has done with. What it leaves is kept, and an empty stream keeps no memory.
+  template <typename Take>
+  void read(std::uint32_t events, Take take) {
+    if (std::exchange(look_again_, false) && !in_.empty()) keep(in_, take(std::string_view(in_)));
+    // Sixteen scratches are more than any answer; a longer sender waits for the others' turn.
+    for (int turns = 0; end_ == End::open && !paused_; ++turns) {
+      if (turns == 16) return loop_.again(token_, events);
+      const std::string_view unread = receive();
+      if (unread.empty()) return;
+      keep(unread, take(unread));
+      if (drained_ && !(events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))) return;
+    }
+  }
+  // Writes what the system takes and keeps the rest. A connection that breaks is told by its event.
+  void write(std::initializer_list<std::string_view> parts);
+  void flush();
+  // Nothing more is read until resumed: the other side does not take its answers.
+  void pause() { paused_ = true; }
+  void resume();
+  void end_sending();
+  // The other side sees it at once; what was read stays valid until the owner's call returns.
+  void close();
+
+  // Whether an event of a connection on its way tells that it is up; also sets what a failed one ended by.
+  bool connected(std::uint32_t events);
+  bool up() const { return connected_; }
+  End end() const { return end_; }
+  bool all_written() const { return out_.empty(); }
+  std::size_t unwritten() const { return out_.size(); }
+  std::size_t unread() const { return in_.size(); }
+
+ private:
+  std::string_view receive();
+  void keep(std::string_view unread, std::size_t taken);
+
+  Loop& loop_;
+  Fd fd_;
+  Loop::Token token_;
+  std::string in_;
+  std::string out_;
+  bool connected_;
+  bool drained_ = false;
+  bool paused_ = false;
+  bool look_again_ = false;
+  End end_ = End::open;
+};
+
+}  // namespace ironquay::net
