A full client side no longer closes one idle connection too many; tests of the net

Seen: an integration test with 64 descriptors found a connection closed that nobody had to give way for. Cause: clients.cpp, accept_all() made room before it knew of a connection to accept, so each round of accepts on a full gatekeeper closed one more idle client, at times the one just taken. Now a connection is accepted first and the one idle for longest then gives way.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -289,7 +289,8 @@
 void Clients::accept_all() {
   // A flood of connections takes turns with the rest.
   for (int turns = 0; turns < 64; ++turns) {
-    if (conns_.size() >= most_ && !make_room()) return;
+    // Full, and none idle: those that end make room.
+    if (conns_.size() >= most_ && oldest_idle() == conns_.end()) return;
     Address peer{};
     Fd fd = accept_from(socket_, peer);
     if (!fd) {
@@ -301,6 +302,7 @@
       }
       return;
     }
+    if (conns_.size() >= most_) (*oldest_idle())->end("descriptors");
     last_accept_ = loop_.now();
     conns_.push_back(std::make_unique<Conn>(*this, std::move(fd), peer));
     conns_.back()->place_ = std::prev(conns_.end());
@@ -308,14 +310,8 @@
   loop_.again(token_, EPOLLIN);
 }
 
-// Closes the connection that was idle for longest; if there is none, those that end make room.
-bool Clients::make_room() {
-  for (auto& conn : conns_) {
-    if (!conn->idle()) continue;
-    conn->end("descriptors");
-    return true;
-  }
-  return false;
+Clients::Conns::iterator Clients::oldest_idle() {
+  return std::find_if(conns_.begin(), conns_.end(), [](const auto& conn) { return conn->idle(); });
 }
 
 void Clients::drain(std::function<void()> done) {
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -207,7 +207,8 @@
   if (!conn) {
     // What this gatekeeper lacks is no word on the worker.
     const bool refused = errno == ECONNREFUSED || errno == ENETUNREACH || errno == EHOSTUNREACH;
-    if (!refused) log("no connection left workers=%zu errno=%d", conns_.size(), errno);
+    log("end peer=worker addr=%s reason=%s errno=%d", text_of(workers_.at(worker).address).c_str(),
+        refused ? "refused" : "descriptors", errno);
     return listener_.try_ended(exchange.id, upstream_try, worker,
                                refused ? Outcome::no_route : Outcome::not_sent, Span(0), {}, 0);
   }
--- /dev/null
+++ b/test/gatekeeper_test.cpp
@@ -0,0 +1,711 @@
+// Starts the program and speaks to it over sockets, as its clients, workers, list, counter and peers would.
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+
+#include "net/resp.hpp"
+#include "net/socket.hpp"
+
+namespace ironquay::net {
+namespace {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+// Longer than anything here takes, on a busy machine and with sanitizers; a wait that fails ends by it.
+constexpr int kPatience = 5000;
+
+bool readable(const Fd& fd, int milliseconds) {
+  pollfd one{fd.get(), POLLIN, 0};
+  return poll(&one, 1, milliseconds) == 1;
+}
+
+// One end of a TCP connection that the test plays.
+class Line {
+ public:
+  Line() = default;
+  explicit Line(Fd fd) : fd_(std::move(fd)) {}
+  void say(std::string_view text) {
+    for (; !text.empty() && fd_;) {
+      pollfd one{fd_.get(), POLLOUT, 0};
+      if (poll(&one, 1, kPatience) != 1) FAIL("the program takes nothing more");
+      const ssize_t sent = send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL);
+      if (sent <= 0) return;
+      text.remove_prefix(static_cast<std::size_t>(sent));
+    }
+  }
+  // What comes until `text` has come whole; less if the connection ends or nothing comes.
+  std::string hear_as_long_as(std::string_view text) {
+    while (heard_.size() < text.size() && more(kPatience)) {
+    }
+    return take(text.size());
+  }
+  bool hears(std::string_view text) { return hear_as_long_as(text) == text; }
+  std::string hear_until(std::string_view end) {
+    std::size_t at;
+    while ((at = heard_.find(end)) == std::string::npos)
+      if (!more(kPatience)) return take(heard_.size());
+    return take(at + end.size());
+  }
+  bool hears_nothing_for(int milliseconds) { return heard_.empty() && !readable(fd_, milliseconds); }
+  bool ends() {
+    while (more(kPatience)) {
+    }
+    return ended_;
+  }
+  bool was_reset() const { return reset_; }
+  // The words of the next command, with spaces between.
+  std::string command() {
+    resp::Command command;
+    while (resp::parse_command(heard_, command) == resp::Parsed::partial)
+      if (!more(kPatience)) return {};
+    std::string words;
+    for (std::size_t i = 0; i < command.count; ++i) words.append(i ? " " : "").append(command.words[i]);
+    take(command.bytes);
+    return words;
+  }
+  void break_off() {
+    const linger now{1, 0};
+    setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    fd_ = Fd();
+  }
+  void close() { fd_ = Fd(); }
+  void finish_sending() { shutdown(fd_.get(), SHUT_WR); }
+  const Fd& fd() const { return fd_; }
+
+ private:
+  bool more(int milliseconds) {
+    if (!fd_ || ended_ || !readable(fd_, milliseconds)) return false;
+    char bytes[65536];
+    const ssize_t got = recv(fd_.get(), bytes, sizeof bytes, 0);
+    ended_ = got <= 0;
+    reset_ = got < 0;
+    if (got > 0) heard_.append(bytes, static_cast<std::size_t>(got));
+    return got > 0;
+  }
+  std::string take(std::size_t size) {
+    const std::string text = heard_.substr(0, size);
+    heard_.erase(0, size);
+    return text;
+  }
+
+  Fd fd_;
+  std::string heard_;
+  bool ended_ = false;
+  bool reset_ = false;
+};
+
+// A place that the program connects to.
+class Stand {
+ public:
+  Stand() {
+    Address any = *parse_address("127.0.0.1:1");
+    any.sin_port = 0;
+    fd_ = listen_at(any);
+    address_ = any;
+    socklen_t size = sizeof address_;
+    getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address_), &size);
+  }
+  std::string address() const { return text_of(address_); }
+  bool is_called(int milliseconds = kPatience) const { return readable(fd_, milliseconds); }
+  Line accept() {
+    if (!is_called()) FAIL("the program does not connect");
+    Address peer;
+    return Line(accept_from(fd_, peer));
+  }
+  void close() { fd_ = Fd(); }
+  const Fd& fd() const { return fd_; }
+
+ private:
+  Fd fd_;
+  Address address_{};
+};
+
+Json route(const char* name, const char* effect) {
+  return {{"name", name}, {"effect", effect},  {"on_time", 1000},    {"give_up", 3000},
+          {"gain", 1.0},  {"late_share", 0.0}, {"key_scope", "all"}, {"key_ttl", 4000}};
+}
+
+Json some_settings() {
+  return {
+      {"classes",
+       {route("lookup", "read_like"), route("order", "idempotency_key"), route("pay", "non_idempotent")}},
+      {"plans",
+       {{{"name", "team"},
+         {"refill", 1000.0},
+         {"store_size", 1000.0},
+         {"at_once", 0},
+         {"never_over_rate", 0.0},
+         {"hard_burst", 0.0},
+         {"beyond_earns", 0.0},
+         {"overrun_cost", 1.0}},
+        {{"name", "small"},
+         {"refill", 8.0},
+         {"store_size", 8.0},
+         {"at_once", 0},
+         {"never_over_rate", 0.0},
+         {"hard_burst", 0.0},
+         {"beyond_earns", 0.0},
+         {"overrun_cost", 1.0}}}},
+      {"contract", {{"cold_share", 0.25}, {"warm_after", 15000}, {"fall", 1000}, {"ask_within", 10000}}},
+      {"bounds",
+       {{"cancelling", true},
+        {"may_duplicate", false},
+        {"retry_after", true},
+        {"try_limit", 6},
+        {"max_retry_after", 500},
+        {"idle_close", 30000},
+        {"connect_timeout", 250},
+        {"open_cap", 1000},
+        {"may_tell", true}}},
+      {"registry_mode", "pushed"},
+      {"family_info",
+       {{"counter", true}, {"count_limit", 80}, {"peer_intake", 40}, {"max_units", 8}, {"settles", true}}},
+      {"tariffs", {{"cross_zone", 0}}},
+      {"report", {{"fields", {"inflight"}}, {"how", "inline"}}},
+      {"me", 0},
+      {"siblings", 2},
+      {"locality", "here"},
+      {"round", 2}};
+}
+
+std::string resp_of(std::initializer_list<std::string_view> words) {
+  std::string out;
+  resp::append_count(out, words.size());
+  for (const std::string_view word : words) resp::append_word(out, word);
+  return out;
+}
+
+constexpr const char* kCustomer = "00000000b4d65521";
+
+std::string lookup(std::string_view id,
+                   std::string_view more = "c=lookup,t=team,d=1500,units=2,spread=1,first=0") {
+  return resp_of({"CALL.GET", kCustomer, id, more});
+}
+std::string pay(std::string_view id) {
+  return resp_of({"CALL.POST", kCustomer, id, "c=pay,t=team,d=1500,units=2,spread=1,first=0", "BODY"});
+}
+std::string value_of(std::string_view text) {
+  return "$" + std::to_string(text.size()) + "\r\n" + std::string(text) + "\r\n";
+}
+std::string answer_of(std::string_view text) { return "*3\r\n" + value_of(text) + "$-1\r\n$-1\r\n"; }
+
+// The program with two workers, a list, a counter and one other gatekeeper.
+class Deployment {
+ public:
+  explicit Deployment(std::size_t workers = 2) : workers_(workers), stands_(workers) {
+    char folder[] = "/tmp/ironquay-test-XXXXXX";
+    folder_ = mkdtemp(folder);
+    listen_ = *parse_address("127.77.0.1:1");
+    listen_.sin_port = 0;
+    peer_fd_ = datagrams_at(listen_);
+    Address peer = listen_;
+    socklen_t size = sizeof peer;
+    getsockname(peer_fd_.get(), reinterpret_cast<sockaddr*>(&peer), &size);
+    const Fd port = listen_at(listen_);
+    getsockname(port.get(), reinterpret_cast<sockaddr*>(&listen_), &size);
+    const std::string here = text_of(listen_);
+    config = {{"name", "n0"},
+              {"listen", here},
+              {"discovery", list.address()},
+              {"seed", "8c1f30d27a5be964"},
+              {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+              {"peer_listen", here},
+              {"peers", {here, text_of(peer)}},
+              {"peers_all", text_of(peer)},
+              {"counter", counter.address()},
+              {"known", hosts(41, true, "in_service")},
+              {"settings", some_settings()}};
+  }
+  ~Deployment() {
+    if (pid_ > 0) {
+      int status = 0;
+      CHECK(waitpid(pid_, &status, WNOHANG) == 0);  // it has not ended by itself
+      kill(pid_, SIGKILL);
+      waitpid(pid_, &status, 0);
+    }
+    std::system(("rm -r " + folder_).c_str());
+  }
+
+  void start() {
+    std::ofstream(folder_ + "/config.json") << config.dump();
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, STDERR_FILENO, (folder_ + "/log").c_str(), O_CREAT | O_WRONLY,
+                                     0600);
+    std::string variable = "GW_CONFIG=" + folder_ + "/config.json", program = IRONQUAY_PROGRAM;
+    char* arguments[] = {program.data(), nullptr};
+    char* variables[] = {variable.data(), nullptr};
+    REQUIRE(posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments, variables) == 0);
+    posix_spawn_file_actions_destroy(&files);
+  }
+  // Started, and ready for clients.
+  Line client() {
+    if (pid_ == 0) start();
+    const auto until = Clock::now() + std::chrono::milliseconds(kPatience);
+    while (Clock::now() < until) {
+      Line line(connect_to(listen_));
+      line.say("*1\r\n$4\r\nPING\r\n");
+      if (line.hears("+PONG\r\n")) return line;
+      std::this_thread::sleep_for(10ms);
+    }
+    FAIL("the program does not get ready: " << log());
+    return Line();
+  }
+  // A new connection at one of the workers, and which.
+  std::pair<Line, std::size_t> next_try() {
+    std::vector<pollfd> all;
+    for (Stand& stand : stands_) all.push_back({stand.fd().get(), POLLIN, 0});
+    if (poll(all.data(), all.size(), kPatience) <= 0) FAIL("no upstream try comes: " << log());
+    std::size_t at = 0;
+    while (!all[at].revents) ++at;
+    return {stands_[at].accept(), at};
+  }
+  bool no_try_for(int milliseconds) {
+    return std::none_of(stands_.begin(), stands_.end(),
+                        [&](Stand& one) { return one.is_called(milliseconds); });
+  }
+  Json hosts(int version, bool whole, const char* health, std::size_t only = 99) {
+    Json list = {{"seq", version}, {"whole", whole}, {"hosts", Json::array()}};
+    for (std::size_t i = 0; i < workers_; ++i) {
+      if (only != 99 && only != i) continue;
+      list["hosts"].push_back({{"host", "s-" + std::to_string(i)},
+                               {"dial", stands_[i].address()},
+                               {"site", "here"},
+                               {"class", "m2"},
+                               {"block", 1},
+                               {"health", health},
+                               {"share", 1.0},
+                               {"born_ms", 0}});
+    }
+    return list;
+  }
+  // Takes the watch, up to the end of the answer's head.
+  Line take_watch(std::string& asked) {
+    Line watch = list.accept();
+    asked = watch.hear_until("\r\n\r\n");
+    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    return watch;
+  }
+  static std::string chunk(const std::string& text) {
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+  }
+  int exit_code() {
+    for (int waited = 0; waited < kPatience; waited += 10) {
+      int status = 0;
+      if (waitpid(pid_, &status, WNOHANG) == pid_) {
+        pid_ = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
+      }
+      std::this_thread::sleep_for(10ms);
+    }
+    return -1;
+  }
+  std::string log() const {
+    std::ostringstream text;
+    text << std::ifstream(folder_ + "/log").rdbuf();
+    return text.str();
+  }
+  bool logs(std::string_view what) const {
+    for (int waited = 0; waited < kPatience; waited += 10) {
+      if (log().find(what) != std::string::npos) return true;
+      std::this_thread::sleep_for(10ms);
+    }
+    return false;
+  }
+  double cpu_seconds() const {
+    std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+    std::string word;
+    double ticks = 0;
+    for (int i = 1; i <= 15 && stat >> word; ++i)
+      if (i >= 14) ticks += std::stod(word);
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+  }
+  void terminate() { kill(pid_, SIGTERM); }
+  Stand& worker(std::size_t at) { return stands_[at]; }
+  const Fd& peer() const { return peer_fd_; }
+  const Address& address() const { return listen_; }
+
+  Json config;
+  Stand list, counter;
+
+ private:
+  std::size_t workers_;
+  std::vector<Stand> stands_;
+  std::string folder_;
+  Address listen_{};
+  Fd peer_fd_;
+  pid_t pid_ = 0;
+};
+
+TEST_CASE("a command in single bytes reaches a worker unchanged but for d") {
+  Deployment deployment;
+  Line client = deployment.client();
+  const std::string marks = "c=order,t=team,d=900,k=5c0f6e1a2b3d4c59,units=2,spread=1,first=0,new=7";
+  for (const char byte : resp_of({"CALL.POST", kCustomer, "9b1f03aa5c7e2d41", marks, "a\r\nb"}))
+    client.say({&byte, 1});
+  auto [worker, at] = deployment.next_try();
+  const std::string got = worker.command();
+  const std::string head = "CALL.POST 00000000b4d65521 9b1f03aa5c7e2d41 c=order,t=team,d=";
+  const std::string tail = ",k=5c0f6e1a2b3d4c59,units=2,spread=1,first=0,new=7 a\r\nb";
+  REQUIRE(got.substr(0, head.size()) == head);
+  REQUIRE(got.substr(got.size() - tail.size()) == tail);
+  const int told = std::stoi(got.substr(head.size()));
+  REQUIRE(told > 500);
+  REQUIRE(told <= 900);
+  for (const char byte : std::string("*3\r\n$2\r\nok\r\n$6\r\ncost=3\r\n$10\r\ninflight=7\r\n"))
+    worker.say({&byte, 1});
+  REQUIRE(client.hears("$2\r\nok\r\n"));
+}
+
+TEST_CASE("answers follow the order of commands") {
+  Deployment deployment;
+  Line client = deployment.client();
+  client.say(lookup("1") + lookup("2") + "*1\r\n$4\r\nPING\r\n");
+  auto [a, at] = deployment.next_try();
+  auto [b, bt] = deployment.next_try();
+  const bool swapped = a.command().find(" 1 ") == std::string::npos;
+  Line &first = swapped ? b : a, &second = swapped ? a : b;
+  second.say(answer_of("two"));
+  REQUIRE(client.hears_nothing_for(50));
+  first.say(answer_of("one"));
+  REQUIRE(client.hears(value_of("one") + value_of("two") + "+PONG\r\n"));
+}
+
+TEST_CASE("a connection to a worker is used again, the latest first") {
+  Deployment deployment(1);
+  Line client = deployment.client();
+  client.say(lookup("1"));
+  auto [worker, at] = deployment.next_try();
+  for (const char* id : {"2", "3"}) {
+    worker.command();
+    worker.say(answer_of("v"));
+    REQUIRE(client.hears(value_of("v")));
+    client.say(lookup(id));
+  }
+  REQUIRE(worker.command().find(" 3 ") != std::string::npos);
+  REQUIRE(deployment.no_try_for(20));
+}
+
+TEST_CASE("bad input ends a connection behind the answers to what came before") {
+  Deployment deployment;
+  Line client = deployment.client();
+  client.say(lookup("1") + "CALL.GET inline\r\n" + lookup("2"));
+  auto [worker, at] = deployment.next_try();
+  worker.command();
+  worker.say(answer_of("v"));
+  REQUIRE(client.hears(value_of("v") + "-ERR Protocol error\r\n"));
+  REQUIRE(client.ends());
+  client.close();
+  REQUIRE(deployment.logs("peer=client"));
+  REQUIRE(deployment.logs("reason=bad-input"));
+  REQUIRE(deployment.no_try_for(20));
+}
+
+TEST_CASE("a command that cannot be meant is answered with an error, and the next is taken") {
+  Deployment deployment;
+  Line client = deployment.client();
+  const std::string customer = kCustomer;
+  const std::string bad[] = {
+      resp_of({"CALL.GET", customer}),
+      resp_of({"CALL.GET", "xyz", "1", "c=lookup,t=team,d=9,units=1,spread=1,first=0"}),
+      resp_of({"CALL.GET", customer, "1", "c=none,t=team,d=9,units=1,spread=1,first=0"}),
+      resp_of({"CALL.GET", customer, "1", "c=lookup,t=none,d=9,units=1,spread=1,first=0"}),
+      resp_of({"CALL.GET", customer, "1", "c=lookup,t=team,d=nan,units=1,spread=1,first=0"}),
+      resp_of({"CALL.GET", customer, "1", "c=lookup,t=team,d=9,units=-1,spread=1,first=0"}),
+      resp_of({"CALL.GET", customer, "1", "c=lookup,t=team,d=9,units=1,spread=3,first=0"}),
+      resp_of({"CALL.GET", customer, "1", "c=lookup,t=team,d=9,units=1,spread=1,first=2"}),
+      resp_of({"CALL.GET", customer, "1", "c=pay,t=team,d=9,units=1,spread=1,first=0"}),
+      resp_of({"CALL.POST", customer, "1", "c=order,t=team,d=9,units=1,spread=1,first=0", "BODY"}),
+      resp_of({"FLUSHALL"}),
+  };
+  for (const std::string& text : bad) {
+    client.say(text);
+    INFO(text);
+    REQUIRE(client.hear_until("\r\n").substr(0, 5) == "-ERR ");
+  }
+  client.say("*1\r\n$4\r\nping\r\n");
+  REQUIRE(client.hears("+PONG\r\n"));
+}
+
+TEST_CASE("a worker that refuses connections has not run it, so even pay goes to another") {
+  Deployment deployment;
+  deployment.worker(0).close();
+  Line client = deployment.client();
+  // One with a try out is not favoured, so one of the two calls is sent to the dead worker first.
+  client.say(pay("1") + pay("2"));
+  for (int i = 0; i < 2; ++i) {
+    Line worker = deployment.next_try().first;
+    worker.command();
+    worker.say(answer_of("v"));
+  }
+  REQUIRE(client.hears(value_of("v") + value_of("v")));
+  REQUIRE(deployment.logs("reason=refused"));
+}
+
+TEST_CASE("a reset behind the last byte: lookup is tried at another worker, pay never again") {
+  Deployment deployment;
+  Line client = deployment.client();
+  client.say(lookup("1"));
+  auto [first, at] = deployment.next_try();
+  first.command();
+  first.break_off();
+  auto [second, other] = deployment.next_try();
+  REQUIRE(other != at);
+  second.command();
+  second.say(answer_of("v"));
+  REQUIRE(client.hears(value_of("v")));
+  second.close();
+
+  client.say(pay("2"));
+  auto [third, any] = deployment.next_try();
+  third.command();
+  third.break_off();
+  REQUIRE(client.hears("-ERR failed\r\n"));
+  REQUIRE(deployment.no_try_for(50));
+}
+
+TEST_CASE("a worker's error ends pay, and its turning away does not") {
+  Deployment deployment;
+  Line client = deployment.client();
+  client.say(pay("1"));
+  auto [first, at] = deployment.next_try();
+  first.command();
+  first.say("-BUSY\r\n");
+  auto [second, other] = deployment.next_try();
+  REQUIRE(other != at);
+  second.command();
+  second.say("-ERR failed used=3,cost=4 inflight=7\r\n");
+  REQUIRE(client.hears("-ERR failed\r\n"));
+}
+
+TEST_CASE("an answer that is none ends its connection, and the call may have run") {
+  Deployment deployment;
+  Line client = deployment.client();
+  client.say(pay("1"));
+  auto [worker, at] = deployment.next_try();
+  worker.command();
+  worker.say("HTTP/1.1 200 OK\r\n");
+  REQUIRE(client.hears("-ERR failed\r\n"));
+  REQUIRE(worker.ends());
+  REQUIRE(deployment.logs("reason=bad-answer"));
+}
+
+TEST_CASE("a silent worker's connection is closed and the call answered before its latency target") {
+  Deployment deployment;
+  Line client = deployment.client();
+  const auto began = Clock::now();
+  client.say(lookup("1"));
+  auto [worker, at] = deployment.next_try();
+  worker.command();
+  REQUIRE(client.hear_until("\r\n").substr(0, 5) == "-BUSY");
+  const auto took = Clock::now() - began;
+  REQUIRE(took > 900ms);
+  REQUIRE(took < 1000ms);
+  REQUIRE(worker.ends());
+}
+
+TEST_CASE("a client that leaves takes its upstream try back") {
+  Deployment deployment;
+  Line client = deployment.client();
+  client.say(lookup("1"));
+  auto [worker, at] = deployment.next_try();
+  worker.command();
+  client.close();
+  REQUIRE(worker.ends());
+  REQUIRE(deployment.logs("reason=cancelled"));
+  REQUIRE(deployment.logs("reason=client-eof"));
+}
+
+TEST_CASE("a connection that its worker has closed is not written to again") {
+  Deployment deployment(1);
+  Line client = deployment.client();
+  client.say(pay("1"));
+  auto [worker, at] = deployment.next_try();
+  worker.command();
+  worker.say(answer_of("v"));
+  worker.finish_sending();
+  REQUIRE(client.hears(value_of("v")));
+  REQUIRE(worker.ends());
+  client.say(pay("2"));
+  auto [next, same] = deployment.next_try();
+  REQUIRE(next.command().find(" 2 ") != std::string::npos);
+}
+
+TEST_CASE("a worker that drains gets nothing new, by a watch cut anywhere, and the watch is taken up again") {
+  Deployment deployment;
+  Line client = deployment.client();
+  std::string asked;
+  Line watch = deployment.take_watch(asked);
+  REQUIRE(asked.find("GET /discovery/hosts?watch=1&from=41 HTTP/1.1\r\n") == 0);
+  const std::string text = deployment.hosts(43, false, "terminating", 0).dump() + "\n";
+  for (const char byte : deployment.chunk(text.substr(0, 30)) + deployment.chunk(text.substr(30)))
+    watch.say({&byte, 1});
+  watch.say(deployment.chunk("\n"));
+  watch.close();
+  Line again = deployment.take_watch(asked);
+  REQUIRE(asked.find("from=43 ") != std::string::npos);
+  for (int i = 0; i < 8; ++i) client.say(lookup(std::to_string(i)));
+  for (int i = 0; i < 3; ++i) REQUIRE(deployment.next_try().second == 1);
+  REQUIRE_FALSE(deployment.worker(0).is_called(20));
+}
+
+TEST_CASE("SIGTERM: what comes is taken on, what is held is finished, nothing is reset") {
+  Deployment deployment;
+  Line held = deployment.client(), idle = deployment.client();
+  held.say(lookup("1"));
+  auto [worker, at] = deployment.next_try();
+  worker.command();
+  deployment.terminate();
+  REQUIRE(deployment.logs("drain"));
+  Line late = deployment.client();
+  REQUIRE(late.ends());  // answered, and then told to go elsewhere
+  REQUIRE_FALSE(late.was_reset());
+  REQUIRE(idle.ends());
+  REQUIRE_FALSE(idle.was_reset());
+  worker.say(answer_of("v"));
+  REQUIRE(held.hears(value_of("v")));
+  REQUIRE(held.ends());
+  REQUIRE_FALSE(held.was_reset());
+  held.close(), idle.close(), late.close();
+  REQUIRE(deployment.exit_code() == 0);
+  REQUIRE(deployment.log().find("over name=n0") != std::string::npos);
+}
+
+TEST_CASE("a configuration that is wrong ends the start with one line") {
+  const auto ends_with = [](const char* key, const Json& value, const char* said) {
+    Deployment deployment;
+    if (value.is_null()) deployment.config.erase(key);
+    if (!value.is_null()) deployment.config[key] = value;
+    deployment.start();
+    REQUIRE(deployment.exit_code() == 1);
+    INFO(deployment.log());
+    REQUIRE(deployment.log().find(said) != std::string::npos);
+    REQUIRE(deployment.log().find('\n') == deployment.log().size() - 1);
+  };
+  ends_with("settings", Json(), "settings are missing");
+  ends_with("settings", {{"classes", 3}}, "settings lack classes");
+  ends_with("counter", "nowhere", "counter is no address: 'nowhere'");
+  ends_with("listen", "192.0.2.1:1", "listening at 192.0.2.1:1");
+  ends_with("seed", "xyz", "seed is no row of hex digits");
+}
+
+TEST_CASE("few descriptors: idle clients give way, busy ones stay, and waiting for one costs nothing") {
+  Deployment deployment(4);
+  deployment.config["limits"]["sockets"] = 64;  // 25 for clients, 15 for workers
+  Line first = deployment.client();
+  std::vector<Line> idle, workers;
+  for (int i = 0; i < 40; ++i) idle.push_back(deployment.client());
+  REQUIRE(first.ends());
+  REQUIRE(deployment.logs("reason=descriptors"));
+  // As many calls as there are places: 12 at workers, the rest waiting.
+  for (int i = 15; i < 40; ++i) idle[static_cast<std::size_t>(i)].say(lookup(std::to_string(i)));
+  for (int i = 0; i < 12; ++i) workers.push_back(deployment.next_try().first);
+  Line waiting(connect_to(deployment.address()));
+  waiting.say("*1\r\n$4\r\nPING\r\n");
+  const double before = deployment.cpu_seconds();
+  REQUIRE(waiting.hears_nothing_for(200));
+  REQUIRE(deployment.cpu_seconds() - before < 0.1);
+  for (Line& line : idle) line.close();
+  REQUIRE(waiting.hears("+PONG\r\n"));
+}
+
+TEST_CASE("a client that does not read holds up only itself, and gets all in the end") {
+  Deployment deployment(1);
+  Line slow = deployment.client(), other = deployment.client();
+  const std::string value(60000, 'x');
+  Line worker;
+  int answers = 0;
+  for (bool taken = true; taken; ++answers) {
+    REQUIRE(answers < 1000);  // 60 MB are not held for one client
+    slow.say(lookup(std::to_string(answers)));
+    if (answers == 0) worker = deployment.next_try().first;
+    worker.command();
+    worker.say(answer_of(value));
+    other.say("*1\r\n$4\r\nPING\r\n");
+    REQUIRE(other.hears("+PONG\r\n"));
+    slow.say(lookup("next"));
+    taken = readable(worker.fd(), 200);
+    if (!taken) break;
+    worker.command();
+    worker.say(answer_of(value));
+    ++answers;
+  }
+  for (int i = 0; i <= answers; ++i) REQUIRE(slow.hears(value_of(value)));
+  REQUIRE(worker.command().find(" next ") != std::string::npos);
+}
+
+TEST_CASE("an uncovered call asks the counter; a late answer belongs to its own call") {
+  Deployment deployment;
+  Line client = deployment.client();
+  Line counter = deployment.counter.accept();
+  const std::string marks = "c=lookup,t=small,d=1500,spread=2,first=0,units=";
+  client.say(lookup("2", marks + "4"));
+  const std::string asked = counter.command();
+  REQUIRE(asked.find("CNT.ADD 00000000b4d65521:") == 0);
+  REQUIRE(asked.substr(asked.rfind(' ')) == " 58000");
+  // No answer within 80 ms: the call goes by the store alone.
+  auto [worker, at] = deployment.next_try();
+  worker.command();
+  worker.say(answer_of("v"));
+  REQUIRE(client.hears(value_of("v")));
+  std::this_thread::sleep_for(300ms);
+  client.say(lookup("3", marks + "8"));
+  counter.command();
+  counter.say("$9\r\n1000000.0\r\n" + value_of("1"));
+  REQUIRE(worker.command().find(" 3 ") != std::string::npos);
+}
+
+TEST_CASE("a dry pool is told to the other gatekeeper, and what comes from strangers is passed over") {
+  Deployment deployment;
+  Line client = deployment.client();
+  Line counter = deployment.counter.accept();
+  const std::string long_one(300, '1');
+  sendto(deployment.peer().get(), long_one.data(), long_one.size(), 0,
+         reinterpret_cast<const sockaddr*>(&deployment.address()), sizeof(Address));
+  client.say(lookup("1", "c=lookup,t=small,d=1500,spread=2,first=0,units=8"));
+  counter.command();
+  counter.say("$7\r\n1000000\r\n");
+  REQUIRE(client.hear_until("\r\n").substr(0, 6) == "-BUSY ");
+  REQUIRE(readable(deployment.peer(), kPatience));
+  char bytes[300];
+  const ssize_t size = recv(deployment.peer().get(), bytes, sizeof bytes, 0);
+  REQUIRE(size > 0);
+  REQUIRE(std::string(bytes, static_cast<std::size_t>(size)).find_first_not_of("0123456789") ==
+          std::string::npos);
+}
+
+TEST_CASE("a counter that refuses or breaks off is connected to again") {
+  Deployment deployment;
+  Line client = deployment.client();
+  deployment.counter.accept().break_off();
+  Line again = deployment.counter.accept();
+  client.say(lookup("1", "c=lookup,t=small,d=1500,spread=2,first=0,units=8"));
+  REQUIRE(again.command().find("CNT.ADD ") == 0);
+  again.break_off();
+  // It may have been added; the call goes by its store.
+  auto [worker, at] = deployment.next_try();
+  worker.command();
+  worker.say(answer_of("v"));
+  REQUIRE(client.hears(value_of("v")));
+  REQUIRE(deployment.logs("peer=counter"));
+}
+
+}  // namespace
+}  // namespace ironquay::net
