Never write behind an end that came with an answer; bounds on what clients can hold

Found by reading the code against PROTOCOL and shown by tests of the net: - servers.cpp, Conn::finish(): a worker's answer and its FIN in one segment made the connection free for the call that waits, which was then written behind the end and counted as reset. Now an end seen with the answer keeps the connection from being used again; the test fails without it. - A worker that started anew (born_ms) keeps no connection of its earlier start. - counter.cpp: calls whose connection is not up within the limit end as never added and are not sent later; pauses between connections double from 100 ms to 1 s (330 refused connections in 45 s before). - resp.cpp: a command holds 68 KiB at most, so 600 half-sent ones stay inside the memory limit; answers not taken count, and where memory is short the client that takes none is let go of. - loop: calls that stood unseen while the process got no time have that time taken off what their client still waits.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -87,6 +87,7 @@
     log("end peer=client addr=%s reason=%s commands=%zu held=%zu", text_of(peer_).c_str(),
         reason_ ? reason_ : reason, commands_, line_.size());
     stream_.close();
+    clients_.backlog_ -= backlog_;
     for (auto& call : line_) {
       call->conn_ = nullptr;
       clients_.held_ -= call->weight_;
@@ -159,7 +160,7 @@
     call.weight_ = command.bytes;
     clients_.held_ += call.weight_;
     const std::size_t cap = clients_.born_.links.open_cap;
-    if ((cap > 0 && clients_.calls_ > cap) || clients_.held_ > clients_.memory_)
+    if ((cap > 0 && clients_.calls_ > cap) || clients_.held_ + clients_.backlog_ > clients_.memory_)
       return call.answer({"-BUSY\r\n"});
     clients_.listener_.call_came(call);
     if (!call.answered_) call.keep();
@@ -186,7 +187,7 @@
     double left = 0;
     // An hour is longer than any client waits.
     if (!number(mark("d"), -3.6e6, 3.6e6, left)) return "-ERR d is no time\r\n";
-    call.left = Span(std::llround(left * 1000));
+    call.left = Span(std::llround(left * 1000)) - clients_.loop_.lag();
     if (!number(mark("units"), 0.0, 1e9, call.units)) return "-ERR units is no number\r\n";
     const int gatekeepers = std::max(1, born.terms.gatekeepers);
     if (!number(mark("spread"), 1, gatekeepers, call.spread))
@@ -229,6 +230,14 @@
   }
   void settle() {
     if (line_.size() < kMostCalls / 2 && stream_.unwritten() < kMostUnwritten / 2) stream_.resume();
+    clients_.backlog_ += stream_.unwritten() - backlog_;
+    backlog_ = stream_.unwritten();
+    // Memory is short, and this one takes none of its answers: it is let go of, from outside of what runs
+    // now.
+    if (backlog_ > kMostUnwritten && clients_.backlog_ + clients_.held_ > clients_.memory_) {
+      reason_ = "slow-reader";
+      return linger_.in(0s);
+    }
     if (clients_.drains_ && asked_ever() && idle()) leave("drain");
     if (reason_ && line_.empty() && stream_.all_written()) finish();
   }
@@ -246,6 +255,7 @@
   std::deque<std::unique_ptr<Call>> line_;  // in the order of the commands
   std::string batch_;
   std::size_t commands_ = 0;
+  std::size_t backlog_ = 0;       // as counted among all
   const char* reason_ = nullptr;  // why no more is taken
   bool corked_ = false;
   bool ended_ = false;
@@ -265,6 +275,8 @@
   if (!conn_) return;
   if (conn_->line_.front().get() == this) return conn_->advance(parts);
   for (const std::string_view part : parts) late_.append(part);
+  weight_ += late_.size();
+  conn_->clients_.held_ += late_.size();
 }
 
 Clients::Clients(Loop& loop, const Address& address, const Born& born, std::size_t descriptors,
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -43,9 +43,10 @@
   Listener& listener_;
   Fd socket_;
   Loop::Token token_;
-  std::size_t most_;    // connections
-  std::size_t memory_;  // bytes of API calls held and answers not taken
-  std::size_t held_ = 0;
+  std::size_t most_;         // connections
+  std::size_t memory_;       // bytes of both of the below
+  std::size_t held_ = 0;     // bytes of calls, and of answers that wait for those before them
+  std::size_t backlog_ = 0;  // bytes of answers not taken by the system
   std::size_t calls_ = 0;
   Conns conns_;  // the one used last stands last
   std::vector<std::unique_ptr<Call>> finished_;
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -16,8 +16,9 @@
 // A connection with nothing heard for so long while answers are due is given up. A crowded counter works on
 // in turn and is heard of; one that vanished leaves the connection open for ever.
 constexpr Span kSilence = 1s;
-// Between a connection's end and the next: soon enough to be there when a pause in the calls is over.
-constexpr Span kPause = 100ms;
+// Between a connection's end and the next, doubling while none comes up. The longest is a quarter of the
+// pause that the decisions make at most, so that the counter is there again when they ask.
+constexpr Span kFirstPause = 100ms, kLongestPause = 1s;
 
 }  // namespace
 
@@ -35,11 +36,12 @@
 void Counter::connect() {
   if (stream_) return;
   Fd fd = connect_to(address_);
-  if (!fd) return again_.in(kPause);
+  if (!fd) return try_later();
   written_ = answers_ = 0;
-  opened_ = heard_ = loop_.now();
+  heard_ = loop_.now();
   stream_ = std::make_unique<Stream>(loop_, std::move(fd), *this, false);
   beat_.in(kBeat);
+  over_.in(limit_);
 }
 
 void Counter::count(std::string_view name, double amount, Span lives) {
@@ -70,13 +72,14 @@
   if (stream_->up() && calls_.empty())
     write({std::string(), loop_.now() + limit_, 0, true}, "*1\r\n$4\r\nPING\r\n");
   if (!calls_.empty() && loop_.now() - heard_ > kSilence) return end("silent");
-  if (!stream_->up() && loop_.now() - opened_ > kSilence) return end("no-connection");
   beat_.in(calls_.empty() ? kBeat : kSilence / 4);
 }
 
 // Calls whose limit has passed end as timed out; their places in the line stay.
 void Counter::look() {
   const Span now = loop_.now();
+  // Not up by now: the calls were never written, and must not be added when nobody waits for them any more.
+  if (stream_ && !stream_->up()) return end("no-connection");
   for (std::size_t i = 0; i < calls_.size(); ++i) {
     if (calls_[i].over) continue;
     if (calls_[i].due > now) return over_.at(calls_[i].due);
@@ -93,6 +96,7 @@
       return;
     }
   }
+  pause_ = Span(0);
   if (events & EPOLLOUT) stream_->flush();
   stream_->read(events, [&](std::string_view bytes) { return take(bytes); });
   if (!stream_) return;
@@ -130,12 +134,17 @@
   return at;
 }
 
+void Counter::try_later() {
+  pause_ = std::clamp<Span>(2 * pause_, kFirstPause, kLongestPause);
+  again_.in(pause_);
+}
+
 void Counter::end(const char* reason) {
   log("end peer=counter addr=%s reason=%s answers=%zu out=%zu", text_of(address_).c_str(), reason, answers_,
       calls_.size());
   const std::size_t sent = stream_->up() ? written_ - stream_->unwritten() : 0;
   stream_->close();
-  again_.in(kPause);
+  try_later();
   beat_.stop();
   over_.stop();
   std::deque<Call> ended = std::move(calls_);
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -38,6 +38,7 @@
   void connect();
   void end(const char* reason);
   void look();
+  void try_later();
   void ping();
 
   Loop& loop_;
@@ -49,7 +50,7 @@
   std::deque<Call> calls_;
   std::size_t written_ = 0;  // or waiting to be, on this connection
   std::size_t answers_ = 0;
-  Span opened_{0};
+  Span pause_{0};
   Span heard_{0};
   Timer over_;
   Timer beat_;
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -142,7 +142,7 @@
                               std::string_view zone, std::int64_t cell, double share, Span started) {
   const WorkerId id = id_of(host);
   if (phase != Phase::ready) servers_.close_idle(id);
-  if (phase == Phase::ready) servers_.worker_at(id, address);
+  if (phase == Phase::ready) servers_.worker_at(id, address, started);
   drive([&, this] { choice_.list_names(loop_.now(), id, phase, zone, cell, share, started); });
 }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -25,11 +25,13 @@
 
 // Unix time that never goes back and never leaps. Where the system's clock is set anew, time runs at half or
 // one and a half times its pace until it agrees again: gatekeepers agree on rounds, and no time-out is cut.
-void Loop::tick() {
+void Loop::tick(Span busy) {
   const auto steady = std::chrono::steady_clock::now();
   const Span passed = std::chrono::duration_cast<Span>(steady - ticked_);
   ticked_ += passed;
   now_ += passed + std::clamp(unix_time() - (now_ + passed), -passed / 2, passed / 2);
+  const Span overdue = timers_.empty() ? Span(0) : now_ - timers_.front()->when_;
+  lag_ = std::max({busy, overdue, Span(0)});
 }
 
 Loop::Token Loop::watch(int fd, Handler& handler) {
@@ -67,9 +69,10 @@
   std::array<epoll_event, 256> events;
   std::vector<std::pair<Token, std::uint32_t>> more;
   while (running_) {
+    const Span busy = std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - ticked_);
     const int count = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), patience());
     if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
-    tick();
+    tick(busy);
     // What came in goes before the timers: after a standstill an answer that is there is no time-out.
     more.swap(again_);
     for (const auto& [token, which] : more) call(token, which);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -28,6 +28,9 @@
 
   Loop();
   Span now() const { return now_; }
+  // What is handled now may have stood unseen for so long at most: while the round before was handled, or
+  // while this process got no time at all.
+  Span lag() const { return lag_; }
   Token watch(int fd, Handler& handler);
   void drop(Token token);
   // Calls the handler again in the next round: it stopped before its descriptor had nothing more.
@@ -46,7 +49,7 @@
     std::uint32_t age = 0;
   };
   void call(Token token, std::uint32_t events);
-  void tick();
+  void tick(Span busy);
   void fire_due();
   int patience() const;
   void sift(std::size_t at);
@@ -54,6 +57,7 @@
 
   Fd epoll_;
   Span now_{0};
+  Span lag_{0};
   std::chrono::steady_clock::time_point ticked_;
   std::vector<Place> places_;
   std::vector<std::uint32_t> free_places_;
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -59,8 +59,10 @@
   command.count = static_cast<std::size_t>(words);
   for (std::size_t i = 0; i < command.count; ++i) {
     Part part;
-    if (const Parsed how = bulk(bytes, at, part); how != Parsed::whole) return how;
-    if (part.null) return Parsed::malformed;
+    const Parsed how = bulk(bytes, at, part);
+    if (how == Parsed::partial && bytes.size() > kMostCommand) return Parsed::malformed;
+    if (how != Parsed::whole) return how;
+    if (part.null || at > kMostCommand) return Parsed::malformed;
     command.words[i] = part.text;
   }
   command.bytes = at;
--- a/src/net/resp.hpp
+++ b/src/net/resp.hpp
@@ -9,8 +9,10 @@
 
 enum class Parsed { whole, partial, malformed };
 
-// A value holds so much at most; a command has seven words at most by the protocol, the rest is room.
+// A value holds so much at most. A command has five words by the protocol, one of them a value, and the
+// others together are shorter than a line.
 constexpr std::size_t kMostValue = 64 * 1024, kMostWords = 16, kMostLine = 4096;
+constexpr std::size_t kMostCommand = kMostValue + kMostLine;
 
 struct Command {
   std::array<std::string_view, kMostWords> words;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -60,6 +60,8 @@
       }
       if (use_ != Use::idle) limit_.at(due_);
     }
+    // An end that came with the answer: nothing is written behind it.
+    last_ = events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR);
     if (events & EPOLLOUT) stream_.flush();
     stream_.read(events, [&](std::string_view bytes) { return take(bytes); });
     if (stream_.end() == End::open && !(events & (EPOLLERR | EPOLLHUP))) return;
@@ -138,7 +140,7 @@
     const Use use = std::exchange(use_, Use::idle);
     const Span took = servers_.loop_.now() - began_;
     began_ = servers_.loop_.now();
-    if (!ended_) servers_.workers_.at(worker_).idle.push_back(this);
+    if (!ended_ && !last_) servers_.workers_.at(worker_).idle.push_back(this);
     if (use == Use::probe) return servers_.listener_.probe_ended(worker_, outcome, took);
     servers_.out_.erase(key(call_, try_));
     servers_.listener_.try_ended(call_, try_, worker_, outcome, took, value, units);
@@ -156,6 +158,7 @@
   Span began_{0};  // the try, or the idle time
   Span due_{0};
   std::size_t tries_ = 0;
+  bool last_ = false;
   bool ended_ = false;
 };
 
@@ -170,10 +173,11 @@
 
 Servers::~Servers() = default;
 
-void Servers::worker_at(WorkerId id, const Address& address) {
+void Servers::worker_at(WorkerId id, const Address& address, Span started) {
   Worker& worker = workers_[id];
-  if (same(worker.address, address)) return;
+  if (same(worker.address, address) && worker.started == started) return;
   worker.address = address;
+  worker.started = started;
   close_idle(id);
 }
 
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -29,7 +29,8 @@
   Servers(Loop& loop, const Links& links, std::size_t descriptors, Listener& listener);
   ~Servers();
 
-  void worker_at(WorkerId worker, const Address& address);
+  // Where it is and when it started: connections to another address or an earlier start are not used again.
+  void worker_at(WorkerId worker, const Address& address, Span started);
   void send(const Exchange& exchange, std::size_t upstream_try, WorkerId worker, Span limit);
   void cancel(CallId call, std::size_t upstream_try);
   void probe(WorkerId worker);
@@ -39,6 +40,7 @@
   class Conn;
   struct Worker {
     Address address{};
+    Span started{0};
     std::vector<Conn*> idle;  // the one used last stands last
   };
 
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -84,6 +84,11 @@
     fd_ = Fd();
   }
   void close() { fd_ = Fd(); }
+  // The last byte and the end go out together.
+  void say_and_finish(std::string_view text) {
+    send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_MORE);
+    finish_sending();
+  }
   void finish_sending() { shutdown(fd_.get(), SHUT_WR); }
   const Fd& fd() const { return fd_; }
 
@@ -536,16 +541,23 @@
 TEST_CASE("a connection that its worker has closed is not written to again") {
   Deployment deployment(1);
   Line client = deployment.client();
-  client.say(pay("1"));
-  auto [worker, at] = deployment.next_try();
-  worker.command();
-  worker.say(answer_of("v"));
-  worker.finish_sending();
-  REQUIRE(client.hears(value_of("v")));
-  REQUIRE(worker.ends());
-  client.say(pay("2"));
+  // Three are out and the fourth waits for room, so it is sent when the first answer comes, and its end with
+  // it.
+  for (const char* id : {"1", "2", "3", "4"}) client.say(pay(id));
+  std::vector<Line> workers;
+  for (int i = 0; i < 3; ++i) workers.push_back(deployment.next_try().first);
+  workers[0].command();
+  workers[0].say_and_finish(answer_of("v"));
+  REQUIRE(workers[0].ends());
   auto [next, same] = deployment.next_try();
-  REQUIRE(next.command().find(" 2 ") != std::string::npos);
+  REQUIRE(next.command().find(" 4 ") != std::string::npos);
+  // Closed while idle.
+  next.say(answer_of("v"));
+  for (int i = 1; i < 3; ++i) workers[static_cast<std::size_t>(i)].break_off();
+  next.finish_sending();
+  REQUIRE(next.ends());
+  client.say(pay("5"));
+  REQUIRE(deployment.next_try().first.command().find(" 5 ") != std::string::npos);
 }
 
 TEST_CASE("a worker that drains gets nothing new, by a watch cut anywhere, and the watch is taken up again") {
--- a/test/parser_test.cpp
+++ b/test/parser_test.cpp
@@ -34,6 +34,7 @@
   }
   const std::string most = "*1\r\n$65536\r\n" + std::string(65536, 'x') + "\r\n";
   REQUIRE(resp::parse_command(most, command) == Parsed::whole);
+  REQUIRE(resp::parse_command("*2" + most.substr(2) + most.substr(4), command) == Parsed::malformed);
 }
 
 TEST_CASE("a worker's answer is partial until its last byte") {
