--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -79,7 +79,7 @@
   void leave(const char* reason) {
     if (reason_) return;
     reason_ = reason;
-    if (idle()) finish();
+    if (!corked_ && idle()) finish();
   }
   void end(const char* reason) {
     if (ended_) return;
@@ -202,9 +202,7 @@
     line_.push_back(std::make_unique<Call>(this));
     ++clients_.calls_;
     clients_.conns_.splice(clients_.conns_.end(), clients_.conns_, place_);
-    Call& call = *line_.back();
-    call.id = 0;
-    return call;
+    return *line_.back();
   }
   void say(const char* text) { place().answer({text}); }
 
@@ -232,8 +230,7 @@
     if (line_.size() < kMostCalls / 2 && stream_.unwritten() < kMostUnwritten / 2) stream_.resume();
     clients_.backlog_ += stream_.unwritten() - backlog_;
     backlog_ = stream_.unwritten();
-    // Memory is short, and this one takes none of its answers: it is let go of, from outside of what runs
-    // now.
+    // Memory is short, and this one takes none of its answers: let go of, but not from within its own call.
     if (backlog_ > kMostUnwritten && clients_.backlog_ + clients_.held_ > clients_.memory_) {
       reason_ = "slow-reader";
       return linger_.in(0s);
