--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -29,10 +29,11 @@
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-template <typename T>
-bool number(std::string_view text, T least, T most, T& value) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  return error == std::errc() && end == text.data() + text.size() && value >= least && value <= most;
+// The whole text as a number; the base where it is not ten.
+template <typename T, typename... Base>
+bool number(std::string_view text, T& value, Base... base) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base...);
+  return error == std::errc() && end == text.data() + text.size();
 }
 
 }  // namespace
@@ -169,32 +170,41 @@
   // What is wrong with the command, in the words of an answer, or nothing.
   const char* read_marks(Call& call, bool get) {
     const Born& born = clients_.born_;
-    const auto mark = [&](const char* name) { return resp::field(call.marks, name); };
     std::uint64_t customer = 0;
-    if (call.customer.size() != 16 || call.tag.empty()) return "-ERR no such customer\r\n";
-    const char* last = call.customer.data() + call.customer.size();
-    const auto [end, error] = std::from_chars(call.customer.data(), last, customer, 16);
-    if (error != std::errc() || end != last) return "-ERR no such customer\r\n";
-    const auto route = born.routes.find(mark("c"));
+    if (call.customer.size() != 16 || !number(call.customer, customer, 16))
+      return "-ERR no such customer\r\n";
+    std::string_view route_name, plan_name, key, wait, units, spread = "1", first = "0", repeat;
+    resp::each_field(call.marks, [&](std::string_view name, std::string_view value) {
+      if (name == "c") route_name = value;
+      if (name == "t") plan_name = value;
+      if (name == "k") key = value;
+      if (name == "d") wait = value;
+      if (name == "r") repeat = value;
+      if (name == "units") units = value;
+      if (name == "spread") spread = value;
+      if (name == "first") first = value;
+    });
+    const auto route = born.routes.find(route_name);
     if (route == born.routes.end()) return "-ERR no such class\r\n";
-    const auto plan = born.plans.find(mark("t"));
+    const auto plan = born.plans.find(plan_name);
     if (plan == born.plans.end()) return "-ERR no such plan\r\n";
     call.route = route->second;
     call.plan = plan->second;
-    const Repeat repeat = born.terms.routes[call.route].repeat;
-    if (get != (repeat == Repeat::idempotent)) return "-ERR this class has another command\r\n";
-    if (repeat == Repeat::tokened && mark("k").empty()) return "-ERR this class needs a key\r\n";
+    const Repeat kind = born.terms.routes[call.route].repeat;
+    if (get != (kind == Repeat::idempotent)) return "-ERR this class has another command\r\n";
+    if (kind == Repeat::tokened && key.empty()) return "-ERR this class needs a key\r\n";
     double left = 0;
     // An hour is longer than any client waits.
-    if (!number(mark("d"), -3.6e6, 3.6e6, left)) return "-ERR d is no time\r\n";
+    if (!number(wait, left) || !(std::abs(left) <= 3.6e6)) return "-ERR d is no time\r\n";
     call.left = Span(std::llround(left * 1000)) - clients_.loop_.lag();
-    if (!number(mark("units"), 0.0, 1e9, call.units)) return "-ERR units is no number\r\n";
+    if (!number(units, call.units) || !(call.units >= 0 && call.units <= 1e9))
+      return "-ERR units is no number\r\n";
     const int gatekeepers = std::max(1, born.terms.gatekeepers);
-    if (!number(mark("spread"), 1, gatekeepers, call.spread))
+    if (!number(spread, call.spread) || call.spread < 1 || call.spread > gatekeepers)
       return "-ERR spread is no number of gatekeepers\r\n";
-    if (!number(mark("first"), 0, gatekeepers - 1, call.first))
+    if (!number(first, call.first) || call.first < 0 || call.first >= gatekeepers)
       return "-ERR first is no gatekeeper's number\r\n";
-    call.repeat = mark("r") == "1";
+    call.repeat = repeat == "1";
     return nullptr;
   }
 
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -99,14 +99,11 @@
 }
 
 std::string_view field(std::string_view list, std::string_view name) {
-  while (!list.empty()) {
-    const auto comma = list.find(',');
-    const std::string_view one = list.substr(0, comma);
-    if (one.size() > name.size() && one[name.size()] == '=' && one.substr(0, name.size()) == name)
-      return one.substr(name.size() + 1);
-    list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
-  }
-  return {};
+  std::string_view found;
+  each_field(list, [&](std::string_view one, std::string_view value) {
+    if (one == name) found = value;
+  });
+  return found;
 }
 
 void append_count(std::string& out, std::size_t words) {
--- a/src/net/resp.hpp
+++ b/src/net/resp.hpp
@@ -1,5 +1,6 @@
 // RESP2, as far as it is spoken here. The parsers look at bytes that may not be whole yet and give slices.
 #pragma once
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <string>
@@ -36,7 +37,17 @@
 };
 Parsed parse_reply(std::string_view bytes, Reply& reply);
 
-// The value behind `name=` in a list such as "used=37,cost=4"; empty if it is not there.
+// Goes through a list such as "used=37,cost=4".
+template <typename See>
+void each_field(std::string_view list, See see) {
+  while (!list.empty()) {
+    const std::string_view one = list.substr(0, list.find(','));
+    list.remove_prefix(std::min(list.size(), one.size() + 1));
+    const auto equals = one.find('=');
+    if (equals != std::string_view::npos) see(one.substr(0, equals), one.substr(equals + 1));
+  }
+}
+// The value of one of its fields; empty if it is not there.
 std::string_view field(std::string_view list, std::string_view name);
 
 void append_word(std::string& out, std::string_view word);
