Half-sent commands, vanished clients and a held address no longer keep anyone out

Found by going through what clients and restarts can do to the bounds: - clients.cpp: a full gatekeeper closed idle connections only; thirty half-sent commands on 25 places kept every other client out. Now, where none is idle, the one that has been sending a command for longest gives way: it has not been taken yet. The test fails without it. - socket.cpp: a client that vanished with an answer under way held its place for the kernel's quarter of an hour; now for 20 s (TCP_USER_TIMEOUT). - A start whose address is still held by the process before it waits up to 5 s instead of exiting, and a draining gatekeeper frees the address as soon as no more connections come.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -74,7 +74,8 @@
     settle();
   }
 
-  bool idle() const { return line_.empty() && stream_.unread() == 0 && stream_.all_written(); }
+  bool idle() const { return owes_nothing() && stream_.unread() == 0; }
+  bool owes_nothing() const { return line_.empty() && stream_.all_written(); }
   bool asked_ever() const { return commands_ > 0; }
   // No answer will follow on it, and nothing more of it is read as a command.
   void leave(const char* reason) {
@@ -306,10 +307,11 @@
 void Clients::ready(std::uint32_t) { accept_all(); }
 
 void Clients::accept_all() {
+  if (!socket_) return;
   // A flood of connections takes turns with the rest.
   for (int turns = 0; turns < 64; ++turns) {
-    // Full, and none idle: those that end make room.
-    if (conns_.size() >= most_ && oldest_idle() == conns_.end()) return;
+    // Full, and all are busy: those that end make room.
+    if (conns_.size() >= most_ && dispensable() == conns_.end()) return;
     Address peer{};
     Fd fd = accept_from(socket_, peer);
     if (!fd) {
@@ -321,7 +323,7 @@
       }
       return;
     }
-    if (conns_.size() >= most_) (*oldest_idle())->end("descriptors");
+    if (conns_.size() >= most_) (*dispensable())->end("descriptors");
     last_accept_ = loop_.now();
     conns_.push_back(std::make_unique<Conn>(*this, std::move(fd), peer));
     conns_.back()->place_ = std::prev(conns_.end());
@@ -329,8 +331,11 @@
   loop_.again(token_, EPOLLIN);
 }
 
-Clients::Conns::iterator Clients::oldest_idle() {
-  return std::find_if(conns_.begin(), conns_.end(), [](const auto& conn) { return conn->idle(); });
+// The connection that was idle for longest, or else the one that has been sending a command for longest.
+Clients::Conns::iterator Clients::dispensable() {
+  const auto idle = std::find_if(conns_.begin(), conns_.end(), [](const auto& conn) { return conn->idle(); });
+  if (idle != conns_.end()) return idle;
+  return std::find_if(conns_.begin(), conns_.end(), [](const auto& conn) { return conn->owes_nothing(); });
 }
 
 void Clients::drain(std::function<void()> done) {
@@ -351,6 +356,8 @@
     if (conn.idle()) conn.leave("drain");
   }
   const bool coming = now - std::max(last_accept_, drain_began_) < kTakeOn;
+  // The address is free for the next start, while what is held is finished.
+  if (!coming) socket_ = Fd();
   // One that never finishes its command does not hold the end up.
   const bool late = now - drain_began_ > kTakeOn + 2 * kLinger;
   if (coming || calls_ > 0 || (!conns_.empty() && !late)) return draining_.in(20ms);
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -35,7 +35,7 @@
 
   void ready(std::uint32_t events) override;
   void accept_all();
-  Conns::iterator oldest_idle();
+  Conns::iterator dispensable();
   void look_at_drain();
 
   Loop& loop_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -7,6 +7,8 @@
 
 #include <cerrno>
 #include <charconv>
+#include <chrono>
+#include <thread>
 
 namespace ironquay::net {
 namespace {
@@ -18,6 +20,16 @@
 
 const sockaddr* plain(const Address& address) { return reinterpret_cast<const sockaddr*>(&address); }
 
+// At a start the address may still be held by the process before, which is about to end.
+bool bound(const Fd& fd, const Address& address) {
+  constexpr std::chrono::milliseconds kPatience(5000), kPause(20);
+  for (auto waited = kPause; bind(fd.get(), plain(address), sizeof address) != 0; waited += kPause) {
+    if (errno != EADDRINUSE || waited > kPatience) return false;
+    std::this_thread::sleep_for(kPause);
+  }
+  return true;
+}
+
 }  // namespace
 
 Fd::~Fd() {
@@ -52,8 +64,8 @@
 Fd listen_at(const Address& address) {
   Fd fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
-  if (!fd || setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-      bind(fd.get(), plain(address), sizeof address) != 0 || listen(fd.get(), SOMAXCONN) != 0)
+  if (!fd || setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 || !bound(fd, address) ||
+      listen(fd.get(), SOMAXCONN) != 0)
     return Fd();
   return fd;
 }
@@ -61,7 +73,11 @@
 Fd accept_from(const Fd& listener, Address& peer) {
   socklen_t size = sizeof peer;
   Fd fd(accept4(listener.get(), reinterpret_cast<sockaddr*>(&peer), &size, SOCK_NONBLOCK | SOCK_CLOEXEC));
-  if (fd) no_delay(fd.get());
+  if (!fd) return fd;
+  no_delay(fd.get());
+  // Longer than any client waits: one that vanished with an answer under way is noticed by it.
+  constexpr unsigned kUnacknowledged = 20'000;
+  setsockopt(fd.get(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledged, sizeof kUnacknowledged);
   return fd;
 }
 
@@ -75,7 +91,7 @@
 
 Fd datagrams_at(const Address& address) {
   Fd fd(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!fd || bind(fd.get(), plain(address), sizeof address) != 0) return Fd();
+  if (!fd || !bound(fd, address)) return Fd();
   return fd;
 }
 
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -644,6 +644,28 @@
   REQUIRE(waiting.hears("+PONG\r\n"));
 }
 
+TEST_CASE("half-sent commands do not keep other clients out") {
+  Deployment deployment(1);
+  deployment.config["limits"]["sockets"] = 64;
+  std::vector<Line> stuck;
+  for (int i = 0; i < 30; ++i) {
+    stuck.push_back(deployment.client());
+    stuck.back().say("*4\r\n$8\r\nCALL");
+  }
+  Line client = deployment.client();
+  client.say(lookup("1"));
+  REQUIRE(deployment.next_try().first.command().find(" 1 ") != std::string::npos);
+}
+
+TEST_CASE("a start waits for the address while the process before it ends") {
+  Deployment deployment;
+  Fd taken = listen_at(deployment.address());
+  deployment.start();
+  std::this_thread::sleep_for(100ms);
+  taken = Fd();
+  deployment.client();
+}
+
 TEST_CASE("a client that does not read holds up only itself, and gets all in the end") {
   Deployment deployment(1);
   Line slow = deployment.client(), other = deployment.client();
