One place takes a connection up and tells its end; a counter that babbles is named

stream.cpp wake() and over() replace four copies of the same lines in clients, servers, counter and list. What the counter says unasked ends its connection as bad-answer instead of counter-reset.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -62,15 +62,14 @@
 
   void ready(std::uint32_t events) override {
     clients_.finished_.clear();
-    if (events & EPOLLOUT) stream_.flush();
+    stream_.wake(events);
     corked_ = true;
     stream_.read(events, [&](std::string_view bytes) { return take(bytes); });
     corked_ = false;
     if (!batch_.empty()) stream_.write({batch_});
     batch_ = std::string();
     // A paused stream reads no end, but a broken one tells of it all the same.
-    if (stream_.end() != End::open || (events & (EPOLLERR | EPOLLHUP)))
-      return end(stream_.end() == End::peer_closed ? "client-eof" : "client-reset");
+    if (stream_.over(events)) return end(stream_.end() == End::peer_closed ? "client-eof" : "client-reset");
     settle();
   }
 
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -38,6 +38,7 @@
   Fd fd = connect_to(address_);
   if (!fd) return try_later();
   written_ = answers_ = 0;
+  bad_ = false;
   heard_ = loop_.now();
   stream_ = std::make_unique<Stream>(loop_, std::move(fd), *this, false);
   beat_.in(kBeat);
@@ -90,18 +91,15 @@
 
 void Counter::ready(std::uint32_t events) {
   if (!stream_) return;
-  if (!stream_->up()) {
-    if (!stream_->connected(events)) {
-      if (stream_->end() != End::open) end("refused");
-      return;
-    }
+  if (!stream_->wake(events)) {
+    if (stream_->end() != End::open) end("refused");
+    return;
   }
   pause_ = Span(0);
-  if (events & EPOLLOUT) stream_->flush();
   stream_->read(events, [&](std::string_view bytes) { return take(bytes); });
   if (!stream_) return;
-  if (stream_->end() == End::peer_closed) return end("counter-eof");
-  if (stream_->end() != End::open || (events & (EPOLLERR | EPOLLHUP))) end("counter-reset");
+  if (bad_) return end("bad-answer");
+  if (stream_->over(events)) end(stream_->end() == End::peer_closed ? "counter-eof" : "counter-reset");
 }
 
 std::size_t Counter::take(std::string_view bytes) {
@@ -111,7 +109,7 @@
     const resp::Parsed how = resp::parse_reply(bytes.substr(at), reply);
     if (how == resp::Parsed::partial) break;
     if (how == resp::Parsed::malformed || calls_.empty()) {
-      stream_->close();
+      bad_ = true;
       return bytes.size();
     }
     at += reply.bytes;
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -50,6 +50,7 @@
   std::deque<Call> calls_;
   std::size_t written_ = 0;  // or waiting to be, on this connection
   std::size_t answers_ = 0;
+  bool bad_ = false;
   Span pause_{0};
   Span heard_{0};
   Timer over_;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -72,13 +72,10 @@
 
 void List::ready(std::uint32_t events) {
   if (!stream_) return;
-  if (!stream_->up()) {
-    if (!stream_->connected(events)) {
-      if (stream_->end() != End::open) end("refused");
-      return;
-    }
+  if (!stream_->wake(events)) {
+    if (stream_->end() != End::open) end("refused");
+    return;
   }
-  if (events & EPOLLOUT) stream_->flush();
   stream_->read(events, [&](std::string_view bytes) {
     silence_.in(kSilence);
     return answer_.take(bytes, [&](std::string_view piece) {
@@ -95,8 +92,7 @@
   if (bad_ || answer_.stage() == http::Answer::Stage::malformed) return end("bad-answer");
   if (answer_.status() != 0 && answer_.status() != 200) return end("bad-status");
   if (answer_.stage() == http::Answer::Stage::whole) return end("watch-over");
-  if (stream_->end() == End::peer_closed) return end("list-eof");
-  if (stream_->end() != End::open || (events & (EPOLLERR | EPOLLHUP))) end("list-reset");
+  if (stream_->over(events)) end(stream_->end() == End::peer_closed ? "list-eof" : "list-reset");
 }
 
 void List::line(std::string_view text) {
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -53,22 +53,19 @@
   }
 
   void ready(std::uint32_t events) override {
-    if (!stream_.up()) {
-      if (!stream_.connected(events)) {
-        if (stream_.end() != End::open) end("refused", Outcome::no_route);
-        return;
-      }
-      if (use_ != Use::idle) limit_.at(due_);
+    const bool was_up = stream_.up();
+    if (!stream_.wake(events)) {
+      if (stream_.end() != End::open) end("refused", Outcome::no_route);
+      return;
     }
+    if (!was_up) limit_.at(due_);
     // An end that came with the answer: nothing is written behind it.
     last_ = events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR);
-    if (events & EPOLLOUT) stream_.flush();
     stream_.read(events, [&](std::string_view bytes) { return take(bytes); });
-    if (stream_.end() == End::open && !(events & (EPOLLERR | EPOLLHUP))) return;
+    if (!stream_.over(events)) return;
     // Broken before the last byte was written: the worker never began it.
-    const bool written = stream_.up() && stream_.all_written();
     end(stream_.end() == End::peer_closed ? "worker-eof" : "worker-reset",
-        written ? Outcome::cut : Outcome::no_route);
+        stream_.all_written() ? Outcome::cut : Outcome::no_route);
   }
 
   void end(const char* reason, Outcome outcome) {
@@ -88,7 +85,6 @@
   }
 
   Span idle_since() const { return use_ == Use::idle ? began_ : Span::max(); }
-  const Address& address() const { return address_; }
 
  private:
   void begin(Use use, Span limit) {
@@ -115,8 +111,8 @@
       end("bad-answer", Outcome::cut);
       return bytes.size();
     }
-    if (reply.type == '-' && reply.text != "BUSY" && reply.text.substr(0, 4) != "BUSY" &&
-        reply.text.substr(0, 10) != "ERR failed")
+    const bool busy = reply.type == '-' && reply.text.substr(0, 4) == "BUSY";
+    if (reply.type == '-' && !busy && reply.text.substr(0, 10) != "ERR failed")
       log("worker says addr=%s error='%.*s'", text_of(address_).c_str(),
           static_cast<int>(std::min<std::size_t>(reply.text.size(), 80)), reply.text.data());
     limit_.stop();
@@ -129,7 +125,6 @@
       std::from_chars(cost.data(), cost.data() + cost.size(), units);
       finish(Outcome::passed, reply.parts[0].raw, units);
     } else {
-      const bool busy = reply.type == '-' && reply.text.substr(0, 4) == "BUSY";
       finish(busy ? Outcome::no_room : Outcome::errored, {}, 0);
     }
     return bytes.size();
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -78,15 +78,17 @@
   fd_ = Fd();
 }
 
-bool Stream::connected(std::uint32_t events) {
-  if (connected_) return true;
-  int error = 0;
-  socklen_t size = sizeof error;
-  if (getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
-    end_ = End::reset;
-  } else if (events & EPOLLOUT) {
-    connected_ = true;
+bool Stream::wake(std::uint32_t events) {
+  if (!connected_) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+      end_ = End::reset;
+    } else if (events & EPOLLOUT) {
+      connected_ = true;
+    }
   }
+  if (events & EPOLLOUT) flush();
   return connected_;
 }
 
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -42,8 +42,11 @@
   // The other side sees it at once; what was read stays valid until the owner's call returns.
   void close();
 
-  // Whether an event of a connection on its way tells that it is up; also sets what a failed one ended by.
-  bool connected(std::uint32_t events);
+  // To be asked first at every event: takes up a connection on its way and writes what waits. False while it
+  // is not up; end() then tells whether it failed.
+  bool wake(std::uint32_t events);
+  // Whether it has ended by what was read, or the event tells that it is broken though not all may be read.
+  bool over(std::uint32_t events) const { return end_ != End::open || (events & (EPOLLERR | EPOLLHUP)); }
   bool up() const { return connected_; }
   End end() const { return end_; }
   bool all_written() const { return out_.empty(); }
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -78,6 +78,12 @@
     take(command.bytes);
     return words;
   }
+  // Takes a command and answers it.
+  std::string answer(std::string_view text) {
+    const std::string words = command();
+    say(text);
+    return words;
+  }
   void break_off() {
     const linger now{1, 0};
     setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
@@ -399,8 +405,7 @@
   client.say(lookup("1"));
   auto [worker, at] = deployment.next_try();
   for (const char* id : {"2", "3"}) {
-    worker.command();
-    worker.say(answer_of("v"));
+    worker.answer(answer_of("v"));
     REQUIRE(client.hears(value_of("v")));
     client.say(lookup(id));
   }
@@ -413,8 +418,7 @@
   Line client = deployment.client();
   client.say(lookup("1") + "CALL.GET inline\r\n" + lookup("2"));
   auto [worker, at] = deployment.next_try();
-  worker.command();
-  worker.say(answer_of("v"));
+  worker.answer(answer_of("v"));
   REQUIRE(client.hears(value_of("v") + "-ERR Protocol error\r\n"));
   REQUIRE(client.ends());
   client.close();
@@ -463,8 +467,7 @@
   client.say(pay("1") + pay("2"));
   for (int i = 0; i < 2; ++i) {
     Line worker = deployment.next_try().first;
-    worker.command();
-    worker.say(answer_of("v"));
+    worker.answer(answer_of("v"));
   }
   REQUIRE(client.hears(value_of("v") + value_of("v")));
   REQUIRE(deployment.logs("reason=refused"));
@@ -479,8 +482,7 @@
   first.break_off();
   auto [second, other] = deployment.next_try();
   REQUIRE(other != at);
-  second.command();
-  second.say(answer_of("v"));
+  second.answer(answer_of("v"));
   REQUIRE(client.hears(value_of("v")));
   second.close();
 
@@ -497,12 +499,10 @@
   Line client = deployment.client();
   client.say(pay("1"));
   auto [first, at] = deployment.next_try();
-  first.command();
-  first.say("-BUSY\r\n");
+  first.answer("-BUSY\r\n");
   auto [second, other] = deployment.next_try();
   REQUIRE(other != at);
-  second.command();
-  second.say("-ERR failed used=3,cost=4 inflight=7\r\n");
+  second.answer("-ERR failed used=3,cost=4 inflight=7\r\n");
   REQUIRE(client.hears("-ERR failed\r\n"));
 }
 
@@ -511,8 +511,7 @@
   Line client = deployment.client();
   client.say(pay("1"));
   auto [worker, at] = deployment.next_try();
-  worker.command();
-  worker.say("HTTP/1.1 200 OK\r\n");
+  worker.answer("HTTP/1.1 200 OK\r\n");
   REQUIRE(client.hears("-ERR failed\r\n"));
   REQUIRE(worker.ends());
   REQUIRE(deployment.logs("reason=bad-answer"));
@@ -676,15 +675,13 @@
     REQUIRE(answers < 1000);  // 60 MB are not held for one client
     slow.say(lookup(std::to_string(answers)));
     if (answers == 0) worker = deployment.next_try().first;
-    worker.command();
-    worker.say(answer_of(value));
+    worker.answer(answer_of(value));
     other.say("*1\r\n$4\r\nPING\r\n");
     REQUIRE(other.hears("+PONG\r\n"));
     slow.say(lookup("next"));
     taken = readable(worker.fd(), 200);
     if (!taken) break;
-    worker.command();
-    worker.say(answer_of(value));
+    worker.answer(answer_of(value));
     ++answers;
   }
   for (int i = 0; i <= answers; ++i) REQUIRE(slow.hears(value_of(value)));
@@ -702,13 +699,11 @@
   REQUIRE(asked.substr(asked.rfind(' ')) == " 58000");
   // No answer within 80 ms: the call goes by the store alone.
   auto [worker, at] = deployment.next_try();
-  worker.command();
-  worker.say(answer_of("v"));
+  worker.answer(answer_of("v"));
   REQUIRE(client.hears(value_of("v")));
   std::this_thread::sleep_for(300ms);
   client.say(lookup("3", marks + "8"));
-  counter.command();
-  counter.say("$9\r\n1000000.0\r\n" + value_of("1"));
+  counter.answer("$9\r\n1000000.0\r\n" + value_of("1"));
   REQUIRE(worker.command().find(" 3 ") != std::string::npos);
 }
 
@@ -720,8 +715,7 @@
   sendto(deployment.peer().get(), long_one.data(), long_one.size(), 0,
          reinterpret_cast<const sockaddr*>(&deployment.address()), sizeof(Address));
   client.say(lookup("1", "c=lookup,t=small,d=1500,spread=2,first=0,units=8"));
-  counter.command();
-  counter.say("$7\r\n1000000\r\n");
+  counter.answer("$7\r\n1000000\r\n");
   REQUIRE(client.hear_until("\r\n").substr(0, 6) == "-BUSY ");
   REQUIRE(readable(deployment.peer(), kPatience));
   char bytes[300];
@@ -741,10 +735,13 @@
   again.break_off();
   // It may have been added; the call goes by its store.
   auto [worker, at] = deployment.next_try();
-  worker.command();
-  worker.say(answer_of("v"));
+  worker.answer(answer_of("v"));
   REQUIRE(client.hears(value_of("v")));
   REQUIRE(deployment.logs("peer=counter"));
+  Line third = deployment.counter.accept();
+  third.say("+nobody asked\r\n");
+  REQUIRE(third.ends());
+  REQUIRE(deployment.logs("reason=bad-answer"));
 }
 
 }  // namespace
