A pool's first taker is known though the counter rounds its totals

Checked and ruled out: messages between gatekeepers (traced: they arrive and are known by their sender), true units (parsed), marks of repeats, slow answers of the counter (more calls were made on sockets, not fewer).

Cause: traced, the counter's totals come in thousandths. choice.cpp, take_for_ends(), knew the first taker of a pool by total < 1.0001 * amount, which a total rounded up by half a thousandth fails for most small amounts. The new name's excess, up to 48 s of the rate, was then not trimmed at once.

Change: the first taker is known with a thousandth's tolerance.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -219,8 +219,9 @@
     return;
   }
   // What would fill the pool past the burst is lost. Its first taker says so at once, later ones the sooner
-  // the more it is and of a burst at most, as it costs a call and others may say the same meanwhile.
-  const bool first = total < 1.0001 * call.amount;
+  // the more it is and of a burst at most, as it costs a call and others may say the same meanwhile. Counters
+  // round: a thousandth of a unit is seen on sockets.
+  const bool first = total < 1.0001 * call.amount + 0.001;
   if (left > full && (first || state.chance() * full < (left - full) * double(state.chance.max())))
     count(name, {CountFor::giving_back, call.customer}, std::min(left - full, first ? left : full));
 }
--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -165,6 +165,7 @@
   };
   const double excess = trims(4);
   CHECK(excess > full);
+  CHECK(trims(4.0009) > full);  // the same, as a counter rounds that answers in thousandths
   double most = 0;
   for (int i = 0; i < 100; ++i) most = std::max(most, trims(4.1));
   CHECK(most == Approx(full));
