--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -201,7 +201,7 @@
   const double left = full + fill * seconds((call.asked + shift_of(call.customer)) % kRound) - total;
   const bool first = total < 1.0001 * call.amount + 0.001;  // counters round, to thousandths on sockets
   // While the counter was away all units went to the stores: a pool that it forgot fills from nought since.
-  const double most = first ? std::min(full, fill * seconds(now_ - state.counter_back)) : full;
+  const double most = first ? std::min(full, full / 2 + fill * seconds(now_ - state.counter_back)) : full;
   // Where the pool does not hold it all, what the API call itself needs.
   const auto held = state.calls.find(call.id);
   const double least = held == state.calls.end() ? 0 : std::max(0.0, held->second.units - slice.stored);
