--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -197,32 +197,31 @@
 void Choice::take_for_ends(const CountCall& call, std::string_view name, double total) {
   Slice& slice = state.slices.at(call.customer);
   const Plan& plan = terms_.plans[slice.plan];
-  const double full = slice.standing * plan.burst, fill = slice.standing * plan.rate;
-  const double left = full + fill * seconds((call.asked + shift_of(call.customer)) % kRound) - total;
-  const bool first = total < 1.0001 * call.amount + 0.001;  // counters round, to thousandths on sockets
-  // While the counter was away all units went to the stores: a pool that it forgot fills from nought since.
-  const double most = first ? std::min(full, full / 2 + fill * seconds(now_ - state.counter_back)) : full;
+  const double full = slice.standing * plan.burst;
+  const double into = seconds((call.asked + shift_of(call.customer)) % kRound);
+  const double left = full + slice.standing * plan.rate * into - total;
   // Where the pool does not hold it all, what the API call itself needs.
   const auto held = state.calls.find(call.id);
   const double least = held == state.calls.end() ? 0 : std::max(0.0, held->second.units - slice.stored);
-  const double there = most < full ? most : left + call.amount;
+  const double there = left + call.amount;
   const double had = there >= call.units ? call.units : there >= least ? least : 0;
   if (had > 0) {
     slice.stored += had;
     slice.unasked = 0;
     if (left > full / 2) state.dry.erase(key_of(call.customer));
   } else {
-    slice.next_ask = now_ + spanning((least - there) / fill);
+    slice.next_ask = now_ + spanning((least - there) / (slice.standing * plan.rate));
     if (!is_dry(call.customer)) tell_dry(call.customer, slice);
     note_dry(key_of(call.customer));
   }
-  if (most < full) return count(name, {CountFor::giving_back, call.customer}, left - most + had);
   if (had < call.units) {
     count(name, {CountFor::giving_back, call.customer}, (had / call.units - 1) * call.amount);
     return;
   }
   // What would fill the pool past the burst is lost. Its first taker says so at once, later ones the sooner
-  // the more it is and of a burst at most, as it costs a call and others may say the same meanwhile.
+  // the more it is and of a burst at most, as it costs a call and others may say the same meanwhile. Counters
+  // round: a thousandth of a unit is seen on sockets.
+  const bool first = total < 1.0001 * call.amount + 0.001;
   if (left > full && (first || state.chance() * full < (left - full) * double(state.chance.max())))
     count(name, {CountFor::giving_back, call.customer}, std::min(left - full, first ? left : full));
 }
@@ -289,7 +288,6 @@
   queue->second.pop_front();
   if (queue->second.empty()) state.counting.erase(queue);
   const bool passed = outcome == Outcome::passed;
-  if (passed && state.counter_rest >= 1s) state.counter_back = now;  // more than some calls turned away
   // A counter that is silent, refusing or crowded is left alone, twice as long each time; slices stay put.
   state.counter_rest = passed ? Span(0) : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
   state.counter_quiet_until = now + state.counter_rest;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -123,7 +123,6 @@
   std::size_t dry_left = 0;                     // of them when those past were last dropped
   Span next_tell{0};
   Span counter_rest{0};
-  Span counter_back = -std::chrono::hours(1);  // when it last answered after a time away
   Span counter_quiet_until{0};
   double send_rate = 0;  // own sends a second to one warm worker
   Span send_at{0};
