--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -605,6 +605,45 @@
   REQUIRE(deployment.log().find("over name=n0") != std::string::npos);
 }
 
+TEST_CASE("SIGTERM under traffic: every call is answered, or its connection ends before it is taken") {
+  Deployment deployment(1);
+  std::vector<Line> clients, workers;
+  std::vector<bool> waits(3, true);
+  for (int i = 0; i < 3; ++i) clients.push_back(deployment.client());
+  for (Line& client : clients) client.say(lookup("0"));
+  std::size_t open = 3, crossed = 0, answered = 0;
+  const auto began = Clock::now();
+  bool told = false;
+  while (open > 0 && Clock::now() - began < 3s) {
+    if (!told && Clock::now() - began > 200ms) deployment.terminate(), told = true;
+    std::vector<pollfd> all = {{deployment.worker(0).fd().get(), POLLIN, 0}};
+    for (const Line& line : workers) all.push_back({line.fd().get(), POLLIN, 0});
+    for (const Line& line : clients) all.push_back({line.fd().get(), POLLIN, 0});
+    poll(all.data(), all.size(), 20);
+    for (std::size_t i = 0; i < workers.size(); ++i)
+      if (all[1 + i].revents) workers[i].answer(answer_of("v"));
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+      if (!all[all.size() - clients.size() + i].revents) continue;
+      if (clients[i].hear_until("\r\nv\r\n").empty()) {
+        REQUIRE_FALSE(clients[i].was_reset());
+        crossed += waits[i];
+        clients[i].close(), --open;
+        continue;
+      }
+      ++answered;
+      // The end comes right behind the answer; only then is the connection not used again.
+      waits[i] = !readable(clients[i].fd(), 20);
+      if (waits[i]) clients[i].say(lookup("n"));
+    }
+    if (all[0].revents) workers.push_back(deployment.worker(0).accept());
+  }
+  REQUIRE(open == 0);
+  REQUIRE(crossed == 0);
+  REQUIRE(answered > 6);
+  clients.clear();
+  REQUIRE(deployment.exit_code() == 0);
+}
+
 TEST_CASE("a configuration that is wrong ends the start with one line") {
   const auto ends_with = [](const char* key, const Json& value, const char* said) {
     Deployment deployment;
