SIGHUP reads the configuration again: list and counter move to their new addresses

Fault: main.cpp blocked SIGTERM and SIGINT only; nothing could move list or counter, and GW_DISCOVERY of the start won over the file. Ruled out: limits (descriptors 63 of 384, no restart by memory). Now: signalfd takes SIGHUP too; read again, the file wins over the variables of the start; an unreadable file leaves all as it is, with one line. The list asks its new address for the whole list, as versions may be counted anew. The counter has a line per connection: the old one stays until its calls have ended, and ends on the new one wait for those of the same name, since the decisions know them by their order. Ends of a line that breaks are told in order too, before what they cause. Behind a line that worked the next one is opened at once.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -33,10 +33,10 @@
   return address(text, key);
 }
 
-// A variable wins over the file, which holds the same.
-std::string told(const char* variable, const Json& from, const char* key) {
+std::string told(Reading reading, const char* variable, const Json& from, const char* key) {
   const char* set = std::getenv(variable);
-  return set && *set ? std::string(set) : word(from, key);
+  const std::string written = word(from, key);
+  return set && *set && (reading == Reading::at_start || written.empty()) ? std::string(set) : written;
 }
 
 std::size_t limit(const Json& limits, const char* key, std::size_t otherwise) {
@@ -47,7 +47,7 @@
 
 }  // namespace
 
-Told read_config() {
+Told read_config(Reading reading) {
   const char* path = std::getenv("GW_CONFIG");
   if (!path) throw std::runtime_error("configuration: GW_CONFIG is not set");
   std::ifstream file(path);
@@ -55,9 +55,9 @@
   const Json from = Json::parse(file, nullptr, false);
   if (!from.is_object()) throw std::runtime_error("configuration: no JSON object");
   Told config;
-  config.name = told("GW_NAME", from, "name");
-  config.listen = address(told("GW_LISTEN", from, "listen"), "listen");
-  config.discovery = address(told("GW_DISCOVERY", from, "discovery"), "discovery");
+  config.name = told(reading, "GW_NAME", from, "name");
+  config.listen = address(told(reading, "GW_LISTEN", from, "listen"), "listen");
+  config.discovery = address(told(reading, "GW_DISCOVERY", from, "discovery"), "discovery");
   const std::string seed = word(from, "seed");
   const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
   if (error != std::errc() || end != seed.data() + seed.size())
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -25,7 +25,9 @@
   Born born;
 };
 
-// From the environment. Throws std::runtime_error with one line on what is missing or unreadable.
-Told read_config();
+// From the environment. Throws std::runtime_error with one line on what is missing or unreadable. Read again,
+// the file wins over the variables, which are those of the start.
+enum class Reading { at_start, again };
+Told read_config(Reading reading);
 
 }  // namespace ironquay::net
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include "log.hpp"
 #include "resp.hpp"
@@ -16,140 +17,230 @@
 // A connection with nothing heard for so long while answers are due is given up. A crowded counter works on
 // in turn and is heard of; one that vanished leaves the connection open for ever.
 constexpr Span kSilence = 1s;
-// Between a connection's end and the next, doubling while none comes up. The longest is a quarter of the
-// pause that the decisions make at most, so that the counter is there again when they ask.
+// Between a connection's end and the next, doubling while none works. The longest is a quarter of the pause
+// that the decisions make at most, so that the counter is there again when they ask.
 constexpr Span kFirstPause = 100ms, kLongestPause = 1s;
 
 }  // namespace
 
+// One connection and the calls on it.
+class Counter::Line : public Loop::Handler {
+ public:
+  Line(Counter& counter, Fd fd)
+      : counter_(counter),
+        address_(counter.address_),
+        stream_(counter.loop_, std::move(fd), *this, false),
+        heard_(now()),
+        over_(counter.loop_, [this] { look(); }),
+        beat_(counter.loop_, [this] { ping(); }) {
+    beat_.in(kBeat);
+    over_.in(counter.limit_);
+  }
+
+  void count(std::string_view name, std::string_view text) { write({std::string(name), {}, 0, false}, text); }
+  bool waits_for(std::string_view name) const {
+    return std::any_of(calls_.begin(), calls_.end(),
+                       [&](const Call& call) { return !call.over && call.name == name; });
+  }
+  void leave() {
+    leaves_ = true;
+    end_if_left();
+  }
+  void end(const char* reason) {
+    if (std::exchange(ended_, true)) return;
+    log("end peer=counter addr=%s reason=%s answers=%zu out=%zu", text_of(address_).c_str(), reason, answers_,
+        calls_.size());
+    const std::size_t sent = stream_.up() ? written_ - stream_.unwritten() : 0;
+    stream_.close();
+    beat_.stop();
+    over_.stop();
+    for (Call& call : calls_)
+      if (!std::exchange(call.over, true))
+        counter_.tell(this, {call.name, call.end <= sent ? Outcome::cut : Outcome::no_route, 0});
+    counter_.line_over(this, worked_);
+  }
+
+  void ready(std::uint32_t events) override {
+    if (!stream_.wake(events)) {
+      if (stream_.end() != net::End::open) end("refused");
+      return;
+    }
+    stream_.read(events, [&](std::string_view bytes) { return take(bytes); });
+    if (ended_) return;
+    if (bad_) return end("bad-answer");
+    if (stream_.over(events))
+      return end(stream_.end() == net::End::peer_closed ? "counter-eof" : "counter-reset");
+    end_if_left();
+  }
+
+ private:
+  struct Call {
+    std::string name;  // none: a PING of ours
+    Span due{0};
+    std::size_t end = 0;  // of its bytes among all that were written on this connection
+    bool over = false;    // its end was told; a late answer is its own all the same
+  };
+
+  Span now() const { return counter_.loop_.now(); }
+
+  void write(Call call, std::string_view text) {
+    if (calls_.empty()) heard_ = now();
+    written_ += text.size();
+    call.due = now() + counter_.limit_;
+    call.end = written_;
+    calls_.push_back(std::move(call));
+    if (!over_.set()) over_.at(calls_.back().due);
+    stream_.write({text});
+  }
+
+  void ping() {
+    if (stream_.up() && calls_.empty()) write({std::string(), {}, 0, true}, "*1\r\n$4\r\nPING\r\n");
+    if (!calls_.empty() && now() - heard_ > kSilence) return end("silent");
+    beat_.in(calls_.empty() ? kBeat : kSilence / 4);
+  }
+
+  // Calls whose limit has passed end as timed out; their places in the line stay.
+  void look() {
+    // Not up by now: the calls were never written, and must not be added when nobody waits for them any more.
+    if (!stream_.up()) return end("no-connection");
+    for (std::size_t i = 0; i < calls_.size(); ++i) {
+      if (calls_[i].over) continue;
+      if (calls_[i].due > now()) return over_.at(calls_[i].due);
+      calls_[i].over = true;
+      counter_.tell(this, {calls_[i].name, Outcome::timed_out, 0});
+    }
+    end_if_left();
+  }
+
+  std::size_t take(std::string_view bytes) {
+    std::size_t at = 0;
+    while (at < bytes.size() && !bad_) {
+      resp::Reply reply;
+      const resp::Parsed how = resp::parse_reply(bytes.substr(at), reply);
+      if (how == resp::Parsed::partial) break;
+      worked_ = worked_ || !calls_.empty();
+      bad_ = how == resp::Parsed::malformed || calls_.empty();
+      if (bad_) break;
+      at += reply.bytes;
+      heard_ = now();
+      ++answers_;
+      const Call call = std::move(calls_.front());
+      calls_.pop_front();
+      if (call.over) continue;
+      double total = 0;
+      const char* last = reply.text.data() + reply.text.size();
+      const auto [end, error] = std::from_chars(reply.text.data(), last, total);
+      const bool added = reply.type == '$' && !reply.null && error == std::errc() && end == last &&
+                         !reply.text.empty() && std::isfinite(total);
+      // Any error line tells that nothing was added.
+      counter_.tell(this, {call.name,
+                           added               ? Outcome::passed
+                           : reply.type == '-' ? Outcome::no_room
+                                               : Outcome::cut,
+                           total});
+    }
+    return bad_ ? bytes.size() : at;
+  }
+
+  void end_if_left() {
+    if (leaves_ && std::all_of(calls_.begin(), calls_.end(), [](const Call& call) { return call.over; }))
+      end("moved");
+  }
+
+  Counter& counter_;
+  Address address_;
+  Stream stream_;
+  std::deque<Call> calls_;
+  std::size_t written_ = 0;  // or waiting to be
+  std::size_t answers_ = 0;
+  Span heard_;
+  Timer over_;
+  Timer beat_;
+  bool worked_ = false;  // something came of a call, be it unreadable
+  bool bad_ = false;
+  bool leaves_ = false;
+  bool ended_ = false;
+};
+
 Counter::Counter(Loop& loop, const Address& address, Span limit, Listener& listener)
-    : loop_(loop),
-      address_(address),
-      limit_(limit),
-      listener_(listener),
-      over_(loop, [this] { look(); }),
-      beat_(loop, [this] { ping(); }),
-      again_(loop, [this] { connect(); }) {
+    : loop_(loop), address_(address), limit_(limit), listener_(listener), again_(loop, [this] {
+        connect();
+      }) {
   connect();
 }
 
-void Counter::connect() {
-  if (stream_) return;
-  Fd fd = connect_to(address_);
-  if (!fd) return try_later();
-  written_ = answers_ = 0;
-  bad_ = false;
-  heard_ = loop_.now();
-  stream_ = std::make_unique<Stream>(loop_, std::move(fd), *this, false);
-  beat_.in(kBeat);
-  over_.in(limit_);
-}
+Counter::~Counter() = default;
 
-void Counter::count(std::string_view name, double amount, Span lives) {
-  if (!stream_) return listener_.count_ended(name, Outcome::no_route, 0);
-  char digits[400];
-  const auto end = std::to_chars(digits, digits + sizeof digits, amount, std::chars_format::fixed);
-  const auto life = std::max<long>(1, std::chrono::ceil<std::chrono::milliseconds>(lives).count());
-  std::string text;
-  resp::append_count(text, 4);
-  resp::append_word(text, "CNT.ADD");
-  resp::append_word(text, name);
-  resp::append_word(text, std::string_view(digits, static_cast<std::size_t>(end.ptr - digits)));
-  resp::append_word(text, std::to_string(life));
-  write({std::string(name), loop_.now() + limit_, 0, false}, text);
-}
-
-void Counter::write(Call call, std::string_view text) {
-  if (calls_.empty()) heard_ = loop_.now();
-  written_ += text.size();
-  call.end = written_;
-  calls_.push_back(std::move(call));
-  if (!over_.set()) over_.at(calls_.back().due);
-  stream_->write({text});
+void Counter::connect() {
+  if (line_) return;
+  if (Fd fd = connect_to(address_)) {
+    line_ = std::make_unique<Line>(*this, std::move(fd));
+  } else {
+    line_over(nullptr, false);
+  }
 }
 
-void Counter::ping() {
-  if (!stream_) return;
-  if (stream_->up() && calls_.empty())
-    write({std::string(), loop_.now() + limit_, 0, true}, "*1\r\n$4\r\nPING\r\n");
-  if (!calls_.empty() && loop_.now() - heard_ > kSilence) return end("silent");
-  beat_.in(calls_.empty() ? kBeat : kSilence / 4);
+void Counter::move_to(const Address& address) {
+  if (same(address, address_)) return;
+  address_ = address;
+  pause_ = Span(0);
+  again_.stop();
+  if (leaving_) leaving_->end("moved");
+  leaving_ = std::move(line_);
+  connect();
+  if (leaving_) leaving_->leave();
 }
 
-// Calls whose limit has passed end as timed out; their places in the line stay.
-void Counter::look() {
-  const Span now = loop_.now();
-  // Not up by now: the calls were never written, and must not be added when nobody waits for them any more.
-  if (stream_ && !stream_->up()) return end("no-connection");
-  for (std::size_t i = 0; i < calls_.size(); ++i) {
-    if (calls_[i].over) continue;
-    if (calls_[i].due > now) return over_.at(calls_[i].due);
-    calls_[i].over = true;
-    listener_.count_ended(std::string(calls_[i].name), Outcome::timed_out, 0);
+// Behind one that worked the next comes at once: it was that connection's end, not the counter's.
+void Counter::line_over(Line* line, bool worked) {
+  if (line && line == leaving_.get()) {
+    loop_.bury(std::move(leaving_));
+    return tell();
   }
+  if (line) loop_.bury(std::move(line_));
+  pause_ = worked ? Span(0) : std::clamp<Span>(2 * pause_, kFirstPause, kLongestPause);
+  again_.in(pause_);
 }
 
-void Counter::ready(std::uint32_t events) {
-  if (!stream_) return;
-  if (!stream_->wake(events)) {
-    if (stream_->end() != End::open) end("refused");
-    return;
-  }
-  pause_ = Span(0);
-  stream_->read(events, [&](std::string_view bytes) { return take(bytes); });
-  if (!stream_) return;
-  if (bad_) return end("bad-answer");
-  if (stream_->over(events)) end(stream_->end() == End::peer_closed ? "counter-eof" : "counter-reset");
+// An end on the new line waits for those of its name on the one that leaves.
+void Counter::tell(const Line* line, End end) {
+  release();
+  const bool waits = leaving_ && line != leaving_.get() && leaving_->waits_for(end.name);
+  (waits ? behind_ : ends_).push_back(std::move(end));
+  tell();
 }
 
-std::size_t Counter::take(std::string_view bytes) {
-  std::size_t at = 0;
-  while (at < bytes.size()) {
-    resp::Reply reply;
-    const resp::Parsed how = resp::parse_reply(bytes.substr(at), reply);
-    if (how == resp::Parsed::partial) break;
-    if (how == resp::Parsed::malformed || calls_.empty()) {
-      bad_ = true;
-      return bytes.size();
-    }
-    at += reply.bytes;
-    heard_ = loop_.now();
-    ++answers_;
-    const Call call = std::move(calls_.front());
-    calls_.pop_front();
-    if (call.over) continue;
-    double total = 0;
-    const char* last = reply.text.data() + reply.text.size();
-    const bool added =
-        reply.type == '$' && !reply.null && std::from_chars(reply.text.data(), last, total).ec == std::errc();
-    // Any error line tells that nothing was added.
-    listener_.count_ended(call.name,
-                          added               ? Outcome::passed
-                          : reply.type == '-' ? Outcome::no_room
-                                              : Outcome::cut,
-                          total);
+void Counter::tell() {
+  release();
+  if (std::exchange(telling_, true)) return;
+  while (!ends_.empty()) {
+    const End end = std::move(ends_.front());
+    ends_.pop_front();
+    listener_.count_ended(end.name, end.outcome, end.total);
   }
-  return at;
+  telling_ = false;
 }
 
-void Counter::try_later() {
-  pause_ = std::clamp<Span>(2 * pause_, kFirstPause, kLongestPause);
-  again_.in(pause_);
+void Counter::release() {
+  std::erase_if(behind_, [&](End& end) {
+    if (leaving_ && leaving_->waits_for(end.name)) return false;
+    ends_.push_back(std::move(end));
+    return true;
+  });
 }
 
-void Counter::end(const char* reason) {
-  log("end peer=counter addr=%s reason=%s answers=%zu out=%zu", text_of(address_).c_str(), reason, answers_,
-      calls_.size());
-  const std::size_t sent = stream_->up() ? written_ - stream_->unwritten() : 0;
-  stream_->close();
-  try_later();
-  beat_.stop();
-  over_.stop();
-  std::deque<Call> ended = std::move(calls_);
-  calls_.clear();
-  buried_ = std::move(stream_);
-  for (const Call& call : ended)
-    if (!call.over) listener_.count_ended(call.name, call.end <= sent ? Outcome::cut : Outcome::no_route, 0);
+void Counter::count(std::string_view name, double amount, Span lives) {
+  if (!line_) return tell(nullptr, {std::string(name), Outcome::no_route, 0});
+  char digits[400];
+  const auto end = std::to_chars(digits, digits + sizeof digits, amount, std::chars_format::fixed);
+  const auto life = std::max<long>(1, std::chrono::ceil<std::chrono::milliseconds>(lives).count());
+  std::string text;
+  resp::append_count(text, 4);
+  resp::append_word(text, "CNT.ADD");
+  resp::append_word(text, name);
+  resp::append_word(text, std::string_view(digits, static_cast<std::size_t>(end.ptr - digits)));
+  resp::append_word(text, std::to_string(life));
+  line_->count(name, text);
 }
 
 }  // namespace ironquay::net
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -12,49 +12,45 @@
 
 namespace ironquay::net {
 
-class Counter : public Loop::Handler {
+class Counter {
  public:
   class Listener {
    public:
     virtual ~Listener() = default;
-    // May come from within count().
+    // May come from within count(). The ends for one name come in the order of its calls.
     virtual void count_ended(std::string_view name, Outcome outcome, double total) = 0;
   };
 
   Counter(Loop& loop, const Address& address, Span limit, Listener& listener);
+  ~Counter();
   void count(std::string_view name, double amount, Span lives);
+  // New calls go there; those that are out keep their connection until they have ended.
+  void move_to(const Address& address);
 
  private:
-  struct Call {
-    std::string name;  // none: a PING of ours
-    Span due{0};
-    std::size_t end = 0;  // of its bytes among all that were written on this connection
-    bool over = false;    // its limit has passed; a late answer is its own all the same
+  class Line;
+  struct End {
+    std::string name;
+    Outcome outcome = Outcome::cut;
+    double total = 0;
   };
 
-  void ready(std::uint32_t events) override;
-  std::size_t take(std::string_view bytes);
-  void write(Call call, std::string_view text);
   void connect();
-  void end(const char* reason);
-  void look();
-  void try_later();
-  void ping();
+  void line_over(Line* line, bool worked);
+  void tell(const Line* line, End end);
+  void tell();
+  void release();
 
   Loop& loop_;
   Address address_;
   Span limit_;
   Listener& listener_;
-  std::unique_ptr<Stream> stream_;
-  std::unique_ptr<Stream> buried_;  // the one before, which may be what is being read
-  std::deque<Call> calls_;
-  std::size_t written_ = 0;  // or waiting to be, on this connection
-  std::size_t answers_ = 0;
-  bool bad_ = false;
+  std::unique_ptr<Line> line_;
+  std::unique_ptr<Line> leaving_;  // to the address before, until its calls have ended
+  std::deque<End> ends_;           // to be told, in order
+  std::deque<End> behind_;         // of calls whose name has an earlier one out on the line that leaves
+  bool telling_ = false;
   Span pause_{0};
-  Span heard_{0};
-  Timer over_;
-  Timer beat_;
   Timer again_;
 };
 
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -26,7 +26,7 @@
       clients_(loop, told_.listen, told_.born, connections(told_) * 5 / 8, told_.memory / 4, *this),
       servers_(loop, told_.born.links, connections(told_) * 3 / 8, *this),
       list_(loop, told_.discovery, *this) {
-  list_.known(told_.known);
+  list_.known(std::exchange(told_.known, nullptr));
   list_.watch();
   if (told_.counter && told_.born.terms.permits.counter)
     counter_ = std::make_unique<Counter>(loop, *told_.counter, told_.born.terms.permits.counter_limit, *this);
@@ -34,6 +34,11 @@
     peers_ = std::make_unique<Peers>(loop, *told_.peer_listen, told_.peers, told_.peers_all, *this);
 }
 
+void Gatekeeper::reconfigure(const Told& told) {
+  list_.move_to(told.discovery);
+  if (counter_ && told.counter) counter_->move_to(*told.counter);
+}
+
 void Gatekeeper::drain() {
   clients_.drain([this] { loop_.stop(); });
 }
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -26,6 +26,8 @@
                    public Peers::Listener {
  public:
   Gatekeeper(Loop& loop, Told told);
+  // Goes over to the addresses of list and counter in it; the rest counts from the next start on.
+  void reconfigure(const Told& told);
   // Finishes what is held and stops the loop.
   void drain();
 
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -47,12 +47,22 @@
 void List::refresh() {
   version_ = -1;
   if (stream_) end("refresh");
-  again_.stop();
+  watch();
+}
+
+// Versions may be counted anew there, so the whole list is asked for.
+void List::move_to(const Address& address) {
+  if (same(address, address_)) return;
+  version_ = -1;
+  if (stream_) end("moved");
+  address_ = address;
+  pause_ = Span(0);
   watch();
 }
 
 void List::watch() {
   if (stream_) return;
+  again_.stop();
   Fd fd = connect_to(address_);
   if (!fd) return again_.in(kLongestPause);
   answer_ = http::Answer();
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -28,6 +28,7 @@
   void known(const nlohmann::json& list);
   void watch();    // from the last version heard of; goes on until the program ends
   void refresh();  // the same, with the whole list first
+  void move_to(const Address& address);
 
  private:
   void ready(std::uint32_t events) override;
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -133,7 +133,7 @@
   }
   std::string address() const { return text_of(address_); }
   bool is_called(int milliseconds = kPatience) const { return readable(fd_, milliseconds); }
-  Line accept() {
+  Line accept() const {
     if (!is_called()) FAIL("the program does not connect");
     Address peer;
     return Line(accept_from(fd_, peer));
@@ -252,15 +252,17 @@
     std::system(("rm -r " + folder_).c_str());
   }
 
+  void write_config(const std::string& text) const { std::ofstream(folder_ + "/config.json") << text; }
   void start() {
-    std::ofstream(folder_ + "/config.json") << config.dump();
+    write_config(config.dump());
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDERR_FILENO, (folder_ + "/log").c_str(), O_CREAT | O_WRONLY,
                                      0600);
     std::string variable = "GW_CONFIG=" + folder_ + "/config.json", program = IRONQUAY_PROGRAM;
+    std::string discovery = "GW_DISCOVERY=" + list.address();
     char* arguments[] = {program.data(), nullptr};
-    char* variables[] = {variable.data(), nullptr};
+    char* variables[] = {variable.data(), discovery.data(), nullptr};
     REQUIRE(posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments, variables) == 0);
     posix_spawn_file_actions_destroy(&files);
   }
@@ -348,7 +350,8 @@
       if (i >= 14) ticks += std::stod(word);
     return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
   }
-  void terminate() { kill(pid_, SIGTERM); }
+  void terminate() { tell(SIGTERM); }
+  void tell(int signal) const { kill(pid_, signal); }
   Stand& worker(std::size_t at) { return stands_[at]; }
   const Fd& peer() const { return peer_fd_; }
   const Address& address() const { return listen_; }
@@ -644,6 +647,39 @@
   REQUIRE(deployment.exit_code() == 0);
 }
 
+TEST_CASE("SIGHUP: list and counter move, a call out on the old counter gets its own answer") {
+  Deployment deployment;
+  Line client = deployment.client(), counter = deployment.counter.accept();
+  std::string asked;
+  Line watch = deployment.take_watch(asked);
+  const std::string marks = "c=lookup,t=small,d=1500,spread=2,first=0,units=";
+  client.say(lookup("1", marks + "8") + lookup("2", marks + "8"));
+  const std::string first = counter.command(), second = counter.command();
+  REQUIRE(second.substr(0, 25) == first.substr(0, 25));
+
+  deployment.write_config("{");
+  deployment.tell(SIGHUP);
+  REQUIRE(deployment.logs("reload failed, the configuration before stands: configuration: no JSON object"));
+  REQUIRE(watch.hears_nothing_for(20));
+
+  const Stand list, counter_now;
+  deployment.config["discovery"] = list.address();
+  deployment.config["counter"] = counter_now.address();
+  deployment.write_config(deployment.config.dump());
+  deployment.tell(SIGHUP);
+  REQUIRE(watch.ends());
+  Line watch_now(list.accept());
+  REQUIRE(watch_now.hear_until("\r\n\r\n").find("GET /discovery/hosts?watch=1 HTTP/1.1\r\n") == 0);
+  // The third is answered first, and the answers still reach their own calls: the pool has room for one.
+  client.say(lookup("3", marks + "8"));
+  Line line(counter_now.accept());
+  line.answer("$7\r\n1000000\r\n");
+  counter.say("$1\r\n1\r\n$7\r\n1000000\r\n");
+  REQUIRE(deployment.next_try().first.command().find(" 1 ") != std::string::npos);
+  REQUIRE(counter.ends());
+  REQUIRE(deployment.logs("reason=moved"));
+}
+
 TEST_CASE("a configuration that is wrong ends the start with one line") {
   const auto ends_with = [](const char* key, const Json& value, const char* said) {
     Deployment deployment;
