Spoilt answers: good ones with more behind count, half ones end early, no blame or silence

Now: a whole value is passed on whatever follows it, and the connection ends (extra-bytes); an answer begun is whole in 100 ms (a quarter of the limit at the counter) or spoilt; a connection is used again after 5 ms only and if nothing stands on it; a worker's other errors mean that the call is unusable: error, no further try, no blame; a total that cannot be read was added and is unknown: the take counts unless the pool is known dry.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -287,20 +287,22 @@
   const CountCall call = std::move(queue->second.front());
   queue->second.pop_front();
   if (queue->second.empty()) state.counting.erase(queue);
-  const bool passed = outcome == Outcome::passed;
+  // Cut: added, to a total not known. Its answer was spoilt or its connection lost, not the counter.
+  const bool passed = outcome == Outcome::passed, unknown = outcome == Outcome::cut;
   // A counter that is silent, refusing or crowded is left alone, twice as long each time; slices stay put.
-  state.counter_rest = passed ? Span(0) : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
+  if (!unknown) state.counter_rest = passed ? 0s : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
   state.counter_quiet_until = now + state.counter_rest;
   // Fewer calls ask while answers are slow: a line at the counter is then half of the time limit long.
   const bool slow = now - call.asked > terms_.permits.counter_limit / 2;
-  state.asks = passed && !slow ? std::min(1.0, state.asks + 0.02)
-                               : std::max(1.0 / 64, state.asks * (passed ? 0.9 : 0.7));
+  const double part = passed ? 0.9 : unknown ? 1 : 0.7;
+  state.asks = passed && !slow ? std::min(1.0, state.asks + 0.02) : std::max(1.0 / 64, state.asks * part);
   const auto found = state.slices.find(call.customer);
   if (found == state.slices.end()) return settle();
   Slice& slice = found->second;
   refill(slice);
   if (call.what == CountFor::api_call) {
     if (passed) take_for_ends(call, name, total);
+    if (unknown && !is_dry(call.customer)) slice.stored += call.units;
     const auto held = state.calls.find(call.id);
     if (held != state.calls.end())
       admit(call.id, slice.stored >= (passed ? held->second.units : 1e-6), seconds(slice.next_ask - now));
@@ -462,8 +464,7 @@
   RouteSeen& seen = state.routes[call.route];
   const double before = worker.window;
   worker.ended = now_;
-  const bool no_sign = outcome == Outcome::cancelled || outcome == Outcome::not_sent;
-  if (no_sign || now_ - took < state.back_at) return;
+  if (outcome >= Outcome::cancelled || now_ - took < state.back_at) return;
   const auto shrink = [&](double factor) {
     // Once for each answer time, as all that is out suffers from the same line.
     if (now_ - worker.cut_at < took) return;
@@ -498,7 +499,8 @@
     // shut.
     learn_pressure(true, share > 0.3);
   } else {
-    shrink(timed_out || full ? 0.5 : 0.8);
+    // A spoilt answer came all the same; only rows of them count.
+    if (outcome != Outcome::spoilt) shrink(timed_out || full ? 0.5 : 0.8);
     if (timed_out || full) learn_pressure(false, true);
     // Three bad ends in a row of any kind, or two without a connection: set aside, with a trickle that
     // doubles while it goes well. For hung, silent, dead and failing workers alike.
--- a/src/decode_terms.cpp
+++ b/src/decode_terms.cpp
@@ -104,7 +104,7 @@
   terms.permits.counter = need<bool>(family, "counter");
   if (terms.permits.counter) terms.permits.counter_limit = span(family, "count_limit");
   if (need<bool>(bounds, "may_tell")) terms.permits.peer_intake = need<double>(family, "peer_intake");
-  terms.most_units = need<double>(family, "max_units");
+  terms.most_units = born.links.most_units = need<double>(family, "max_units");
   terms.units_settle = need<bool>(family, "settles");
   terms.cross_zone_price = need<double>(part(from, "tariffs"), "cross_zone");
   terms.me = need<int>(from, "me");
--- a/src/decode_terms.hpp
+++ b/src/decode_terms.hpp
@@ -13,6 +13,7 @@
   Span idle_close{0};  // a worker closes a connection that was idle for so long
   Span connect_timeout{0};
   std::size_t open_cap = 0;  // API calls that a gatekeeper may hold, 0: not told
+  double most_units = 0;     // of an API call
 };
 
 struct Born {
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -73,7 +73,7 @@
     settle();
   }
 
-  bool idle() const { return owes_nothing() && stream_.unread() == 0; }
+  bool idle() const { return owes_nothing() && stream_.unread().empty(); }
   bool owes_nothing() const { return line_.empty() && stream_.all_written(); }
   bool asked_ever() const { return commands_ > 0; }
   // No answer will follow on it, and nothing more of it is read as a command.
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -32,7 +32,8 @@
         stream_(counter.loop_, std::move(fd), *this, false),
         heard_(now()),
         over_(counter.loop_, [this] { look(); }),
-        beat_(counter.loop_, [this] { ping(); }) {
+        beat_(counter.loop_, [this] { ping(); }),
+        whole_(counter.loop_, [this] { end("bad-answer"); }) {
     beat_.in(kBeat);
     over_.in(counter.limit_);
   }
@@ -52,12 +53,12 @@
         calls_.size());
     const std::size_t sent = stream_.up() ? written_ - stream_.unwritten() : 0;
     stream_.close();
-    beat_.stop();
-    over_.stop();
+    for (Timer* timer : {&beat_, &over_, &whole_}) timer->stop();
+    std::vector<End> ends;
     for (Call& call : calls_)
       if (!std::exchange(call.over, true))
-        counter_.tell(this, {call.name, call.end <= sent ? Outcome::cut : Outcome::no_route, 0});
-    counter_.line_over(this, worked_);
+        ends.push_back({call.name, call.end <= sent ? Outcome::cut : Outcome::no_route, 0});
+    counter_.line_over(this, worked_, std::move(ends));
   }
 
   void ready(std::uint32_t events) override {
@@ -119,27 +120,26 @@
       const resp::Parsed how = resp::parse_reply(bytes.substr(at), reply);
       if (how == resp::Parsed::partial) break;
       worked_ = worked_ || !calls_.empty();
-      bad_ = how == resp::Parsed::malformed || calls_.empty();
+      double total = 0;
+      const char* last = reply.text.data() + reply.text.size();
+      const auto [end, error] = std::from_chars(reply.text.data(), last, total);
+      const bool added = reply.type == '$' && error == std::errc() && end == last && std::isfinite(total);
+      const std::string_view word = reply.text.substr(0, 4);
+      const bool refused = reply.type == '-' && (word == "BUSY" || word == "ERR ");
+      bad_ = how == resp::Parsed::malformed || calls_.empty() ||
+             (calls_.front().name.empty() ? reply.type != '+' : !added && !refused);
       if (bad_) break;
       at += reply.bytes;
       heard_ = now();
       ++answers_;
       const Call call = std::move(calls_.front());
       calls_.pop_front();
-      if (call.over) continue;
-      double total = 0;
-      const char* last = reply.text.data() + reply.text.size();
-      const auto [end, error] = std::from_chars(reply.text.data(), last, total);
-      const bool added = reply.type == '$' && !reply.null && error == std::errc() && end == last &&
-                         !reply.text.empty() && std::isfinite(total);
-      // Any error line tells that nothing was added.
-      counter_.tell(this, {call.name,
-                           added               ? Outcome::passed
-                           : reply.type == '-' ? Outcome::no_room
-                                               : Outcome::cut,
-                           total});
+      if (!call.over) counter_.tell(this, {call.name, added ? Outcome::passed : Outcome::no_room, total});
     }
-    return bad_ ? bytes.size() : at;
+    if (bad_) return bytes.size();
+    whole_.stop();
+    if (at < bytes.size()) whole_.in(counter_.limit_ / 4);
+    return at;
   }
 
   void end_if_left() {
@@ -156,6 +156,7 @@
   Span heard_;
   Timer over_;
   Timer beat_;
+  Timer whole_;          // an answer that has begun is to be there by then: a quarter of a call's limit
   bool worked_ = false;  // something came of a call, be it unreadable
   bool bad_ = false;
   bool leaves_ = false;
@@ -176,7 +177,7 @@
   if (Fd fd = connect_to(address_)) {
     line_ = std::make_unique<Line>(*this, std::move(fd));
   } else {
-    line_over(nullptr, false);
+    line_over(nullptr, false, {});
   }
 }
 
@@ -192,21 +193,27 @@
 }
 
 // Behind one that worked the next comes at once: it was that connection's end, not the counter's.
-void Counter::line_over(Line* line, bool worked) {
+void Counter::line_over(Line* line, bool worked, std::vector<End> ends) {
+  for (End& end : ends) put(line, std::move(end));
   if (line && line == leaving_.get()) {
     loop_.bury(std::move(leaving_));
-    return tell();
+  } else {
+    if (line) loop_.bury(std::move(line_));
+    pause_ = worked ? Span(0) : std::clamp<Span>(2 * pause_, kFirstPause, kLongestPause);
+    worked ? connect() : again_.in(pause_);
   }
-  if (line) loop_.bury(std::move(line_));
-  pause_ = worked ? Span(0) : std::clamp<Span>(2 * pause_, kFirstPause, kLongestPause);
-  again_.in(pause_);
+  tell();
 }
 
 // An end on the new line waits for those of its name on the one that leaves.
-void Counter::tell(const Line* line, End end) {
+void Counter::put(const Line* line, End end) {
   release();
   const bool waits = leaving_ && line != leaving_.get() && leaving_->waits_for(end.name);
   (waits ? behind_ : ends_).push_back(std::move(end));
+}
+
+void Counter::tell(const Line* line, End end) {
+  put(line, std::move(end));
   tell();
 }
 
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "loop.hpp"
 #include "socket.hpp"
@@ -36,7 +37,8 @@
   };
 
   void connect();
-  void line_over(Line* line, bool worked);
+  void line_over(Line* line, bool worked, std::vector<End> ends);
+  void put(const Line* line, End end);
   void tell(const Line* line, End end);
   void tell();
   void release();
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -114,8 +114,9 @@
 void Gatekeeper::try_ended(CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
                            std::string_view value, double true_units) {
   bool finished = !calls_.contains(call);
-  if (outcome == Outcome::passed && !finished) {
-    taken(call)->proxied(value);
+  if (!finished && (outcome == Outcome::passed || outcome == Outcome::unusable)) {
+    Exchange* exchange = taken(call);
+    outcome == Outcome::passed ? exchange->proxied(value) : exchange->errored();
     finished = true;
   }
   drive([=, this] {
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -48,6 +48,8 @@
     }
   } else if (stage_ == Stage::data_end) {
     stage_ = line.empty() ? Stage::size : Stage::malformed;
+  } else if (line.empty() && status_ / 100 == 1) {
+    lines_ = 0;  // news that goes before the answer
   } else if (line.empty()) {
     stage_ = Stage::whole;
   }
@@ -63,6 +65,8 @@
         line.substr(0, 7) == "HTTP/1." && line.size() >= 12 && number(line.substr(9, 3), 10, code);
     status_ = static_cast<int>(code);
     if (!read) stage_ = Stage::malformed;
+  } else if (line.empty() && status_ / 100 == 1) {
+    lines_ = 0;  // news that goes before the answer
   } else if (line.empty()) {
     stage_ = chunked_ ? Stage::size : !sized_ ? Stage::until_close : left_ > 0 ? Stage::sized : Stage::whole;
   } else {
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -49,6 +49,17 @@
   return Parsed::whole;
 }
 
+// A bulk string or a line of any other type, as which a report or a figure may come that cannot be read.
+Parsed bulk_or_line(std::string_view bytes, std::size_t& at, Part& part) {
+  if (at >= bytes.size()) return Parsed::partial;
+  if (bytes[at] == '$') return bulk(bytes, at, part);
+  if (bytes[at] != '+' && bytes[at] != '-' && bytes[at] != ':') return Parsed::malformed;
+  const std::size_t start = at++;
+  const Parsed how = line(bytes, at, part.text);
+  if (how == Parsed::whole) part.raw = bytes.substr(start, at - start);
+  return how;
+}
+
 }  // namespace
 
 Parsed parse_command(std::string_view bytes, Command& command) {
@@ -80,9 +91,13 @@
         how != Parsed::whole)
       return how;
     reply.null = parts < 0;
-    reply.count = parts < 0 ? 0 : static_cast<std::size_t>(parts);
-    for (std::size_t i = 0; i < reply.count; ++i)
-      if (const Parsed how = bulk(bytes, at, reply.parts[i]); how != Parsed::whole) return how;
+    for (; static_cast<long>(reply.count) < parts; ++reply.count) {
+      Part& part = reply.parts[reply.count];
+      const Parsed how = reply.count == 0 ? bulk(bytes, at, part) : bulk_or_line(bytes, at, part);
+      reply.ragged = reply.count > 0 && how == Parsed::malformed;
+      if (reply.ragged) break;
+      if (how != Parsed::whole) return how;
+    }
   } else if (reply.type == '$') {
     Part part;
     if (const Parsed how = bulk(bytes, at, part); how != Parsed::whole) return how;
--- a/src/net/resp.hpp
+++ b/src/net/resp.hpp
@@ -31,10 +31,12 @@
   char type = 0;          // of RESP2: + - : $ *
   std::string_view text;  // of all but an array
   bool null = false;
-  std::array<Part, 4> parts;  // of an array of bulk strings
-  std::size_t count = 0;
+  std::array<Part, 4> parts;  // of an array; those behind the first may be lines, whose text is the line's
+  std::size_t count = 0;      // of the parts that could be read
+  bool ragged = false;  // what follows the first part cannot be read, and so neither can what comes next
   std::size_t bytes = 0;
 };
+// Partial, the reply holds the parts that are whole.
 Parsed parse_reply(std::string_view bytes, Reply& reply);
 
 // Goes through a list such as "used=37,cost=4".
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -13,6 +13,12 @@
 
 using namespace std::chrono_literals;
 
+// From an answer's first byte to its last. A network's first repeat of a lost segment comes in 200 ms, and
+// half of that still leaves time for another try; an answer in parts is rare otherwise.
+constexpr Span kWhole = 100ms;
+// What comes unasked comes right behind an answer: for so long a connection is not used again.
+constexpr Span kSettle = 5ms;
+
 // The client's words, but for `d`, which tells how long this gatekeeper waits.
 void append_marks(std::string& out, std::string_view marks, Span limit) {
   const std::string_view told = resp::field(marks, "d");
@@ -59,8 +65,6 @@
       return;
     }
     if (!was_up) limit_.at(due_);
-    // An end that came with the answer: nothing is written behind it.
-    last_ = events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR);
     stream_.read(events, [&](std::string_view bytes) { return take(bytes); });
     if (!stream_.over(events)) return;
     // Broken before the last byte was written: the worker never began it.
@@ -81,9 +85,15 @@
     servers_.loop_.bury(std::move(*own));
     std::swap(*own, servers_.conns_.back());
     servers_.conns_.pop_back();
-    if (use_ != Use::idle) finish(outcome, {}, 0);
+    if (use_ != Use::idle) finish(outcome);
   }
 
+  // Whether nothing unasked stands on it, be it an end; otherwise it ends.
+  bool usable() {
+    if (stream_.quiet()) return true;
+    ready(EPOLLIN | EPOLLRDHUP);
+    return false;
+  }
   Span idle_since() const { return use_ == Use::idle ? began_ : Span::max(); }
 
  private:
@@ -97,45 +107,72 @@
 
   void too_long() {
     if (!stream_.up()) return end("no-connection", Outcome::no_route);
-    end("timed-out", stream_.all_written() ? Outcome::timed_out : Outcome::no_route);
+    if (!stream_.all_written()) return end("timed-out", Outcome::no_route);
+    if (stream_.unread().empty()) return end("timed-out", Outcome::timed_out);
+    spoilt_ = true;
+    resp::Reply reply;
+    resp::parse_reply(stream_.unread(), reply);
+    // Where the value alone is whole, it is good: the rest of the answer was of less use.
+    if (!pass(reply)) end("bad-answer", Outcome::spoilt);
+    end("bad-answer", Outcome::cancelled);
   }
 
   std::size_t take(std::string_view bytes) {
     if (ended_) return bytes.size();
     resp::Reply reply;
     const resp::Parsed how = resp::parse_reply(bytes, reply);
-    if (how == resp::Parsed::partial) return 0;
-    // Nothing was asked, or an answer has more behind it: what follows can belong to no try.
-    const bool whole = how == resp::Parsed::whole && use_ != Use::idle && reply.bytes == bytes.size();
-    if (!whole) {
-      end("bad-answer", Outcome::cut);
-      return bytes.size();
+    if (how == resp::Parsed::partial && use_ != Use::idle) {
+      if (stream_.unread().empty()) limit_.at(std::min(limit_.when(), servers_.loop_.now() + kWhole));
+      return 0;
     }
-    const bool busy = reply.type == '-' && reply.text.substr(0, 4) == "BUSY";
-    if (reply.type == '-' && !busy && reply.text.substr(0, 10) != "ERR failed")
-      log("worker says addr=%s error='%.*s'", text_of(address_).c_str(),
-          static_cast<int>(std::min<std::size_t>(reply.text.size(), 80)), reply.text.data());
-    limit_.stop();
-    if (use_ == Use::probe) {
-      finish(reply.type == '+' ? Outcome::passed : Outcome::errored, {}, 0);
-    } else if (reply.type == '*' && reply.count >= 1 && !reply.parts[0].null) {
-      double units = 0;
-      const std::string_view cost =
-          reply.count > 1 ? resp::field(reply.parts[1].text, "cost") : std::string_view();
-      std::from_chars(cost.data(), cost.data() + cost.size(), units);
-      finish(Outcome::passed, reply.parts[0].raw, units);
-    } else {
-      finish(busy ? Outcome::no_room : Outcome::errored, {}, 0);
+    // More than was asked for: it belongs to no try, and what comes next to none either.
+    spoilt_ = how != resp::Parsed::whole || use_ == Use::idle || reply.ragged || reply.bytes < bytes.size();
+    if (how != resp::Parsed::whole || use_ == Use::idle || !answered(reply)) {
+      end("bad-answer", Outcome::spoilt);
+    } else if (spoilt_) {
+      end("extra-bytes", Outcome::cancelled);
     }
     return bytes.size();
   }
 
+  // False where it is no answer to what was asked.
+  bool answered(const resp::Reply& reply) {
+    if (use_ == Use::probe) {
+      if (reply.type != '+' && reply.type != '-') return false;
+      finish(reply.type == '+' ? Outcome::passed : Outcome::errored);
+      return true;
+    }
+    if (reply.type != '-') return pass(reply);
+    const auto says = [&](std::string_view word) { return reply.text.substr(0, word.size()) == word; };
+    if (!says("BUSY") && !says("ERR")) return false;
+    const bool unusable = !says("BUSY") && !says("ERR failed");
+    if (unusable)
+      log("worker says addr=%s error='%.*s'", text_of(address_).c_str(),
+          static_cast<int>(std::min<std::size_t>(reply.text.size(), 80)), reply.text.data());
+    finish(unusable ? Outcome::unusable : says("BUSY") ? Outcome::no_room : Outcome::errored);
+    return true;
+  }
+
+  bool pass(const resp::Reply& reply) {
+    if (use_ != Use::upstream_try || reply.type != '*' || reply.count < 1 || reply.parts[0].null)
+      return false;
+    double units = 0;
+    const std::string_view cost =
+        reply.count > 1 ? resp::field(reply.parts[1].text, "cost") : std::string_view();
+    const char* last = cost.data() + cost.size();
+    const auto [end, error] = std::from_chars(cost.data(), last, units);
+    const bool sane = error == std::errc() && end == last && units > 0 && units <= servers_.links_.most_units;
+    finish(Outcome::passed, reply.parts[0].raw, sane ? units : 0);
+    return true;
+  }
+
   // Free for the next before the listener hears of it, which may send on at once.
-  void finish(Outcome outcome, std::string_view value, double units) {
+  void finish(Outcome outcome, std::string_view value = {}, double units = 0) {
+    limit_.stop();
     const Use use = std::exchange(use_, Use::idle);
     const Span took = servers_.loop_.now() - began_;
     began_ = servers_.loop_.now();
-    if (!ended_ && !last_) servers_.workers_.at(worker_).idle.push_back(this);
+    if (!ended_ && !spoilt_) servers_.workers_.at(worker_).idle.push_back(this);
     if (use == Use::probe) return servers_.listener_.probe_ended(worker_, outcome, took);
     servers_.out_.erase(key(call_, try_));
     servers_.listener_.try_ended(call_, try_, worker_, outcome, took, value, units);
@@ -153,7 +190,7 @@
   Span began_{0};  // the try, or the idle time
   Span due_{0};
   std::size_t tries_ = 0;
-  bool last_ = false;
+  bool spoilt_ = false;
   bool ended_ = false;
 };
 
@@ -178,9 +215,12 @@
 
 Servers::Conn* Servers::connection_to(WorkerId id) {
   Worker& worker = workers_.at(id);
-  if (!worker.idle.empty()) {
-    Conn* conn = worker.idle.back();
-    worker.idle.pop_back();
+  const Span settled = loop_.now() - kSettle;
+  for (std::size_t i = worker.idle.size(); i-- > 0;) {
+    if (i >= worker.idle.size() || worker.idle[i]->idle_since() > settled) continue;
+    Conn* conn = worker.idle[i];
+    if (!conn->usable()) continue;
+    std::erase(worker.idle, conn);
     return conn;
   }
   if (conns_.size() >= most_ && !make_room()) return nullptr;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -70,6 +70,11 @@
   loop_.again(token_, EPOLLIN | EPOLLRDHUP);  // an end may have come meanwhile
 }
 
+bool Stream::quiet() const {
+  char next;
+  return recv(fd_.get(), &next, 1, MSG_PEEK) < 0 && errno == EAGAIN;
+}
+
 void Stream::end_sending() { shutdown(fd_.get(), SHUT_WR); }
 
 void Stream::close() {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -51,7 +51,9 @@
   End end() const { return end_; }
   bool all_written() const { return out_.empty(); }
   std::size_t unwritten() const { return out_.size(); }
-  std::size_t unread() const { return in_.size(); }
+  std::string_view unread() const { return in_; }
+  // Whether nothing stands to be read, not even an end.
+  bool quiet() const;
 
  private:
   std::string_view receive();
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -14,7 +14,20 @@
 
 namespace ironquay {
 
-enum class Outcome { passed, errored, no_room, timed_out, no_route, cut, cancelled, not_sent };
+// Spoilt: answered with what is of no use, though it ran. From cancelled on they tell nothing of the worker;
+// unusable is an API call that no worker can use.
+enum class Outcome {
+  passed,
+  errored,
+  no_room,
+  timed_out,
+  no_route,
+  cut,
+  spoilt,
+  cancelled,
+  not_sent,
+  unusable
+};
 enum class Phase { ready, draining, gone };
 enum class ListKind { changes, whole, cached, failed };
 
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -410,6 +410,7 @@
   for (const char* id : {"2", "3"}) {
     worker.answer(answer_of("v"));
     REQUIRE(client.hears(value_of("v")));
+    std::this_thread::sleep_for(20ms);  // free again once nothing unasked can follow
     client.say(lookup(id));
   }
   REQUIRE(worker.command().find(" 3 ") != std::string::npos);
