A take with an unknown total is given back where the pool is known to be dry; tests of spoilt answers

Each ask of an overdrawn customer takes its units and a second's demand; answered, it gives them back, but with a spoilt total they were gone, and the pool stayed dry. Ruled out: let_through, strain, queue (60 of 7,300 give-ups). Now take_for_ends reads an unknown total as a pool that is empty (known dry) or held just what was taken.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -199,7 +199,9 @@
   const Plan& plan = terms_.plans[slice.plan];
   const double full = slice.standing * plan.burst;
   const double into = seconds((call.asked + shift_of(call.customer)) % kRound);
-  const double left = full + slice.standing * plan.rate * into - total;
+  // Of a total that is not known: none is left where the pool is known to be dry, else just what was taken.
+  const double unknown = is_dry(call.customer) ? -call.amount : 0;
+  const double left = std::isnan(total) ? unknown : full + slice.standing * plan.rate * into - total;
   // Where the pool does not hold it all, what the API call itself needs.
   const auto held = state.calls.find(call.id);
   const double least = held == state.calls.end() ? 0 : std::max(0.0, held->second.units - slice.stored);
@@ -288,24 +290,23 @@
   queue->second.pop_front();
   if (queue->second.empty()) state.counting.erase(queue);
   // Cut: added, to a total not known. Its answer was spoilt or its connection lost, not the counter.
-  const bool passed = outcome == Outcome::passed, unknown = outcome == Outcome::cut;
+  const bool unknown = outcome == Outcome::cut, added = outcome == Outcome::passed || unknown;
   // A counter that is silent, refusing or crowded is left alone, twice as long each time; slices stay put.
-  if (!unknown) state.counter_rest = passed ? 0s : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
+  if (!unknown) state.counter_rest = added ? 0s : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
   state.counter_quiet_until = now + state.counter_rest;
   // Fewer calls ask while answers are slow: a line at the counter is then half of the time limit long.
   const bool slow = now - call.asked > terms_.permits.counter_limit / 2;
-  const double part = passed ? 0.9 : unknown ? 1 : 0.7;
-  state.asks = passed && !slow ? std::min(1.0, state.asks + 0.02) : std::max(1.0 / 64, state.asks * part);
+  state.asks = added && !slow ? std::min(1.0, state.asks + 0.02)
+                              : std::max(1.0 / 64, state.asks * (added ? 0.9 : 0.7));
   const auto found = state.slices.find(call.customer);
   if (found == state.slices.end()) return settle();
   Slice& slice = found->second;
   refill(slice);
   if (call.what == CountFor::api_call) {
-    if (passed) take_for_ends(call, name, total);
-    if (unknown && !is_dry(call.customer)) slice.stored += call.units;
+    if (added) take_for_ends(call, name, unknown ? NAN : total);
     const auto held = state.calls.find(call.id);
     if (held != state.calls.end())
-      admit(call.id, slice.stored >= (passed ? held->second.units : 1e-6), seconds(slice.next_ask - now));
+      admit(call.id, slice.stored >= (added ? held->second.units : 1e-6), seconds(slice.next_ask - now));
   }
   // Only what is known never to have been added comes back; a gift that may have been is gone.
   if (call.what == CountFor::gift && (outcome == Outcome::no_room || outcome == Outcome::no_route))
@@ -499,11 +500,10 @@
     // shut.
     learn_pressure(true, share > 0.3);
   } else {
-    // A spoilt answer came all the same; only rows of them count.
     if (outcome != Outcome::spoilt) shrink(timed_out || full ? 0.5 : 0.8);
     if (timed_out || full) learn_pressure(false, true);
     // Three bad ends in a row of any kind, or two without a connection: set aside, with a trickle that
-    // doubles while it goes well. For hung, silent, dead and failing workers alike.
+    // doubles while it goes well. For hung, silent, dead, failing and spoiling workers alike.
     worker.misses += full ? 0 : outcome == Outcome::no_route ? 2 : 1;
     if (worker.misses >= 3) worker.window = std::min(worker.window, 1.0 / 8);
   }
--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -183,6 +183,39 @@
   CHECK(least == Approx(-4));
 }
 
+// Spoilt totals: each take from a dry pool was lost, and the counter was left alone as if it were down.
+TEST_CASE("a take with an unknown total counts, or goes back where the pool is known to be dry") {
+  Bench teller;
+  teller.choice.slice_of("c", 0, 2).first = 2;
+  teller.choice.take_for_ends({CountFor::api_call, "c", 4, 1, 4, 0s}, "c:0", 1e5);
+  const std::string key = teller.effects.told.at(0).second;
+  for (const bool dry : {false, true}) {
+    Bench bench;
+    bench.choice.slice_of("c", 0, 2).stored = 0;
+    if (dry) bench.choice.peer_says(0s, 1, key);
+    bench.choice.call_arrives(0s, 1, "c", 0, 0, 4, 0, 2, 3s, false);
+    const double taken = bench.effects.counted.back();
+    bench.worker(1);
+    bench.choice.count_ends(0s, bench.effects.counter_name, Outcome::cut, 0);
+    CHECK(bench.effects.done == std::vector<std::string>{dry ? "rate-limit 1" : "send 1 to 1"});
+    CHECK(bench.effects.counted.back() == Approx(dry ? -taken : taken));
+    CHECK(bench.choice.state.counter_quiet_until <= 0s);
+  }
+}
+
+TEST_CASE("a spoilt answer makes no window smaller, three in a row set its worker aside") {
+  Bench bench;
+  Worker& worker = bench.worker(1);
+  ApiCall& call = bench.call(1, 0);
+  bench.choice.wakes(1s);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(worker.window == 4);
+    bench.choice.learn(worker, call, Outcome::spoilt, 100ms);
+    bench.choice.learn(worker, call, Outcome::unusable, 100ms);
+  }
+  CHECK(worker.window == Approx(0.125));
+}
+
 TEST_CASE("a dry pool is told to the customer's gatekeepers, and those told let nothing in unasked") {
   Bench bench;
   bench.worker(1);
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -521,6 +521,50 @@
   REQUIRE(deployment.logs("reason=bad-answer"));
 }
 
+TEST_CASE("a good answer counts whatever comes with it, and its connection is not used again") {
+  const std::string good = "*3\r\n" + value_of("v");
+  const std::string whole = answer_of("v");
+  // A second copy, noise behind, a report or a figure that is no string, or one that never becomes whole.
+  for (const std::string& text : {whole + whole, whole + "x", good + "!\r\n$-1\r\n", good + "$9\r\nused"}) {
+    INFO(text);
+    Deployment deployment(1);
+    Line client = deployment.client();
+    client.say(pay("1"));
+    Line worker = deployment.next_try().first;
+    worker.answer(text);
+    REQUIRE(client.hears(value_of("v")));
+    REQUIRE(worker.ends());
+    client.say(pay("2"));
+    deployment.next_try().first.answer(answer_of("w"));
+    REQUIRE(client.hears(value_of("w")));
+  }
+}
+
+TEST_CASE("a copy right behind an answer reaches no other call, and a lookup half answered is tried again") {
+  Deployment deployment(1);
+  Line client = deployment.client();
+  client.say(lookup("1"));
+  Line worker = deployment.next_try().first;
+  worker.answer(answer_of("v"));
+  REQUIRE(client.hears(value_of("v")));
+  client.say(lookup("2"));
+  worker.say(answer_of("v"));
+  deployment.next_try().first.answer("*3\r\n$100\r\nv");
+  const auto began = Clock::now();
+  deployment.next_try().first.answer(answer_of("w"));
+  REQUIRE(client.hears(value_of("w")));
+  REQUIRE(Clock::now() - began < 290ms);  // the try's limit is 300 ms at least
+}
+
+TEST_CASE("a call that a worker cannot use ends in an error, without another try") {
+  Deployment deployment;
+  Line client = deployment.client();
+  client.say(lookup("1"));
+  deployment.next_try().first.answer("-ERR bad request\r\n");
+  REQUIRE(client.hears("-ERR failed\r\n"));
+  REQUIRE(deployment.no_try_for(20));
+}
+
 TEST_CASE("a silent worker's connection is closed and the call answered before its latency target") {
   Deployment deployment;
   Line client = deployment.client();
@@ -801,6 +845,26 @@
           std::string::npos);
 }
 
+TEST_CASE("a total that cannot be read was added: its take counts, and the next call has a new connection") {
+  const std::string marks = "c=lookup,t=small,d=1500,spread=2,first=0,units=8";
+  for (const std::string& text : {value_of("x"), value_of("1x"), value_of("nan"), value_of(""),
+                                  std::string("+1\r\n"), std::string("$7\r\n1"), std::string("-noise\r\n")}) {
+    INFO(text);
+    Deployment deployment(1);
+    Line client = deployment.client(), counter = deployment.counter.accept();
+    client.say(lookup("1", marks));
+    counter.answer(text);
+    Line worker = deployment.next_try().first;
+    worker.answer(answer_of("v"));
+    REQUIRE(client.hears(value_of("v")));
+    REQUIRE(counter.ends());
+    client.say(lookup("2", marks));
+    deployment.counter.accept().answer(value_of("1"));
+    deployment.next_try().first.answer(answer_of("w"));
+    REQUIRE(client.hears(value_of("w")));
+  }
+}
+
 TEST_CASE("a counter that refuses or breaks off is connected to again") {
   Deployment deployment;
   Line client = deployment.client();
--- a/test/parser_test.cpp
+++ b/test/parser_test.cpp
@@ -49,6 +49,17 @@
   REQUIRE(resp::field(reply.parts[2].text, "cost") == "4");
 }
 
+TEST_CASE("a value is whole though what follows it is not") {
+  resp::Reply reply;
+  REQUIRE(resp::parse_reply("*3\r\n$1\r\nv\r\n:5\r\n+x=\r\n", reply) == Parsed::whole);
+  REQUIRE(reply.parts[1].text == "5");
+  REQUIRE(resp::parse_reply("*3\r\n$1\r\nv\r\n$3x\r\n", reply) == Parsed::whole);
+  REQUIRE(reply.ragged);
+  REQUIRE(resp::parse_reply("*3\r\n$1\r\nv\r\n$9\r\nu", reply) == Parsed::partial);
+  REQUIRE(reply.count == 1);
+  REQUIRE(resp::parse_reply("*3\r\n$3000000000\r\n", reply) == Parsed::malformed);
+}
+
 TEST_CASE("the other kinds of answers") {
   resp::Reply reply;
   REQUIRE(resp::parse_reply("-ERR failed used=3 inflight=7\r\n", reply) == Parsed::whole);
