A take for calls that do not ask takes no more than the pool ever holds

Probe (each take with its pool, each refusal with its state): pools of 43 units at -300 to -500; an ask at a part of 1/20 took 355 units, and next_ask then lay half a minute ahead. Fault: take_for() multiplies what it takes by one over the part that asks, without bound; fine among hundreds of gatekeepers, where the others do pass, not among four. Ruled out: lost answers (28 takes of 5,689 timed out), repeats (refused as before), workers (err, full, t/o 0).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -62,8 +62,7 @@
 
 void Choice::wake_later() { effects_.wake_at(state.woken_for = next_wake()); }
 
-// A timer long overdue tells that this gatekeeper itself stood still: what was out says nothing of the
-// workers.
+// A timer long overdue tells that this gatekeeper stood still: what was out says nothing of the workers.
 void Choice::hear(Span now) {
   now_ = now;
   if (state.woken_for < now - 100ms) state.back_at = now;
@@ -189,9 +188,10 @@
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
   const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
   const double units = std::max(call.units + ahead - slice.stored, 1e-3);
-  // Where only some calls ask, each takes for those that do not.
-  count(pool_name(call.customer), {CountFor::api_call, call.customer, units, id},
-        is_dry(call.customer) ? units : units / part_asking(call));
+  // Where only some calls ask, each takes for those that do not, but no more than the pool ever holds.
+  const double most = is_dry(call.customer) ? 0 : slice.standing * terms_.plans[slice.plan].burst;
+  const double all = std::max(units, std::min(units / part_asking(call), most));
+  count(pool_name(call.customer), {CountFor::api_call, call.customer, units, id}, all);
 }
 
 void Choice::take_for_ends(const CountCall& call, std::string_view name, double total) {
@@ -496,8 +496,7 @@
     else if (share < std::max(0.12, calm) && worker.out + 1 >= worker.window)
       worker.window += first * first / worker.window;
     if (share > near) shrink(0.8);
-    // Three tenths of the target: twice an unhurried answer; later, jams stayed, sooner, calm fleets were
-    // shut.
+    // Three tenths of the target, twice an unhurried answer: later, jams stayed; sooner, calm fleets shut.
     learn_pressure(true, share > 0.3);
   } else {
     if (outcome != Outcome::spoilt) shrink(timed_out || full ? 0.5 : 0.8);
--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -236,6 +236,21 @@
   CHECK(other.effects.done == std::vector<std::string>{"send 1 to 1", "rate-limit 2"});
 }
 
+// The churned day: with few calls asking, single takes of 20 times the pool left customers shut for a round.
+TEST_CASE("a take for calls that do not ask takes no more than the pool ever holds") {
+  Bench bench;
+  Slice& slice = bench.choice.slice_of("c", 0, 3);
+  slice.stored = 0;
+  bench.choice.state.asks = 0.9;
+  bench.choice.state.units = 400;
+  for (CallId id = 1; bench.effects.counted.empty() && id < 1000; ++id)
+    bench.choice.call_arrives(0s, id, "c", 0, 0, 4, 0, 3, 3s, true),
+        slice.stored = 0, slice.unasked = 99,
+        bench.choice.call_arrives(0s, 1000 + id, "c", 0, 0, 4, 0, 3, 3s, false);
+  REQUIRE(bench.effects.counted.size() > 0);
+  CHECK(bench.effects.counted[0] == Approx(slice.standing * 60));
+}
+
 TEST_CASE("unasked calls pass until a quarter of the burst went since the last take; repeats do not") {
   Bench bench;
   for (WorkerId id = 1; id < 20; ++id) bench.worker(id);
