Bad clients: silent and half-sent connections end after 2 s, open ids and units out of range are errors

Fault: clients.cpp took units up to 1e9, any set, any id and the id of an open call; nothing ended a connection that says nothing, and dispensable() took the longest idle whatever it had asked. Ruled out: CPU of the flood (0.04 of a core at most), memory (under 1 MB). Now: settings bound the units, the set must hold this gatekeeper, an id has visible bytes and is not open; 60 MB are skipped for a megabyte at most; half of the places are kept free of idle connections.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -22,8 +22,15 @@
 constexpr std::size_t kMostCalls = 1024, kMostUnwritten = 256 * 1024;
 // New connections come for 0.4 s after SIGTERM at most; then what is idle is told to go elsewhere.
 constexpr Span kTakeOn = 450ms;
-// For so long a connection that was told of its end may take to end its own side.
+// For so long a connection that was told of its end may take to end its own side, and so much it may send
+// meanwhile: what was under way when it was told, at a few buffers.
 constexpr Span kLinger = 1s;
+constexpr std::size_t kMostSkipped = 1024 * 1024;
+// With no API call open, a connection may be ended after 2 s. One that has sent no whole command by then is;
+// one that has, while more than half of the places are taken.
+constexpr Span kIdle = 2s, kSweep = 250ms;
+// Far longer than any id; no other bytes than visible ones.
+constexpr std::size_t kMostTag = 64;
 
 bool same_word(std::string_view a, std::string_view b) {
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
@@ -45,6 +52,8 @@
   void rate_limited(Span come_back) override;
   void errored() override { answer({"-ERR failed\r\n"}); }
   void answer(std::initializer_list<std::string_view> parts);
+  // Only one that is held has its tag among the open ones.
+  void forget_tag();
 
   Conn* conn_;
   bool answered_ = false;
@@ -58,6 +67,7 @@
       : clients_(clients),
         stream_(clients.loop_, std::move(fd), *this, true),
         peer_(peer),
+        idle_since_(clients.loop_.now()),
         linger_(clients.loop_, [this] { end("linger"); }) {}
 
   void ready(std::uint32_t events) override {
@@ -76,6 +86,8 @@
   bool idle() const { return owes_nothing() && stream_.unread().empty(); }
   bool owes_nothing() const { return line_.empty() && stream_.all_written(); }
   bool asked_ever() const { return commands_ > 0; }
+  bool idle_for(Span time) const { return clients_.loop_.now() - idle_since_ >= time; }
+  bool half_sent() const { return !stream_.unread().empty(); }
   // No answer will follow on it, and nothing more of it is read as a command.
   void leave(const char* reason) {
     if (reason_) return;
@@ -90,6 +102,7 @@
     stream_.close();
     clients_.backlog_ -= backlog_;
     for (auto& call : line_) {
+      if (!call->answered_) call->forget_tag();
       call->conn_ = nullptr;
       clients_.held_ -= call->weight_;
       --clients_.calls_;
@@ -111,7 +124,7 @@
   std::size_t take(std::string_view bytes) {
     std::size_t at = 0;
     while (at < bytes.size()) {
-      if (reason_) return bytes.size();
+      if (reason_) return skip(bytes.size());
       if (line_.size() >= kMostCalls || stream_.unwritten() > kMostUnwritten) {
         stream_.pause();
         break;
@@ -131,6 +144,13 @@
     return at;
   }
 
+  // What follows the last command that counts.
+  std::size_t skip(std::size_t bytes) {
+    skipped_ += bytes;
+    if (skipped_ > kMostSkipped && owes_nothing()) linger_.in(0s);
+    return bytes;
+  }
+
   void handle(const resp::Command& command) {
     const std::string_view verb = command.words[0];
     const bool get = same_word(verb, "CALL.GET");
@@ -157,6 +177,7 @@
       if (call.has_body) call.body = command.words[4];
       wrong = read_marks(call, get);
     }
+    if (!wrong && clients_.open_.contains(call.tag)) wrong = "-ERR this id is open already\r\n";
     if (wrong) return call.answer({wrong});
     call.weight_ = command.bytes;
     clients_.held_ += call.weight_;
@@ -164,7 +185,9 @@
     if ((cap > 0 && clients_.calls_ > cap) || clients_.held_ + clients_.backlog_ > clients_.memory_)
       return call.answer({"-BUSY\r\n"});
     clients_.listener_.call_came(call);
-    if (!call.answered_) call.keep();
+    if (call.answered_) return;
+    call.keep();
+    clients_.open_.insert(call.tag);
   }
 
   // What is wrong with the command, in the words of an answer, or nothing.
@@ -173,6 +196,10 @@
     std::uint64_t customer = 0;
     if (call.customer.size() != 16 || !number(call.customer, customer, 16))
       return "-ERR no such customer\r\n";
+    const auto visible = [](char c) { return c > ' ' && c <= '~'; };
+    if (call.tag.empty() || call.tag.size() > kMostTag ||
+        !std::all_of(call.tag.begin(), call.tag.end(), visible))
+      return "-ERR no id\r\n";
     std::string_view route_name, plan_name, key, wait, units, spread = "1", first = "0", repeat;
     resp::each_field(call.marks, [&](std::string_view name, std::string_view value) {
       if (name == "c") route_name = value;
@@ -196,14 +223,18 @@
     double left = 0;
     // An hour is longer than any client waits.
     if (!number(wait, left) || !(std::abs(left) <= 3.6e6)) return "-ERR d is no time\r\n";
-    call.left = Span(std::llround(left * 1000)) - clients_.loop_.lag();
-    if (!number(units, call.units) || !(call.units >= 0 && call.units <= 1e9))
-      return "-ERR units is no number\r\n";
+    call.left = std::min(Span(std::llround(left * 1000)), born.terms.routes[call.route].client_timeout) -
+                clients_.loop_.lag();
+    if (!number(units, call.units) || !(call.units > 0 && call.units <= born.terms.most_units))
+      return "-ERR units is out of range\r\n";
     const int gatekeepers = std::max(1, born.terms.gatekeepers);
     if (!number(spread, call.spread) || call.spread < 1 || call.spread > gatekeepers)
       return "-ERR spread is no number of gatekeepers\r\n";
     if (!number(first, call.first) || call.first < 0 || call.first >= gatekeepers)
       return "-ERR first is no gatekeeper's number\r\n";
+    // Counted round from the first, this one is among the customer's gatekeepers.
+    if ((born.terms.me - call.first + gatekeepers) % gatekeepers >= call.spread)
+      return "-ERR not in the set of this customer\r\n";
     call.repeat = repeat == "1";
     return nullptr;
   }
@@ -235,6 +266,7 @@
     --clients_.calls_;
     clients_.finished_.push_back(std::move(line_.front()));
     line_.pop_front();
+    idle_since_ = clients_.loop_.now();
   }
   void settle() {
     if (line_.size() < kMostCalls / 2 && stream_.unwritten() < kMostUnwritten / 2) stream_.resume();
@@ -258,10 +290,12 @@
   Clients& clients_;
   Stream stream_;
   Address peer_;
+  Span idle_since_;  // since it was accepted, or since it was last owed something
   Timer linger_;
   std::deque<std::unique_ptr<Call>> line_;  // in the order of the commands
   std::string batch_;
   std::size_t commands_ = 0;
+  std::size_t skipped_ = 0;
   std::size_t backlog_ = 0;       // as counted among all
   const char* reason_ = nullptr;  // why no more is taken
   bool corked_ = false;
@@ -276,9 +310,13 @@
   answer({"-BUSY ", std::string_view(text, static_cast<std::size_t>(end.ptr - text)), "\r\n"});
 }
 
+void Clients::Call::forget_tag() {
+  if (conn_ && kept()) conn_->clients_.open_.erase(tag);
+}
+
 void Clients::Call::answer(std::initializer_list<std::string_view> parts) {
-  if (answered_) return;
-  answered_ = true;
+  if (std::exchange(answered_, true)) return;
+  forget_tag();
   if (!conn_) return;
   if (conn_->line_.front().get() == this) return conn_->advance(parts);
   for (const std::string_view part : parts) late_.append(part);
@@ -296,9 +334,11 @@
       most_(std::max<std::size_t>(descriptors, 1)),
       memory_(memory),
       retry_(loop, [this] { accept_all(); }),
+      sweep_(loop, [this] { end_idle(); }),
       draining_(loop, [this] { look_at_drain(); }) {
   if (!socket_) throw std::system_error(errno, std::generic_category(), "listening at " + text_of(address));
   token_ = loop.watch(socket_.get(), *this);
+  sweep_.in(kSweep);
 }
 
 Clients::~Clients() { loop_.drop(token_); }
@@ -330,11 +370,31 @@
   loop_.again(token_, EPOLLIN);
 }
 
-// The connection that was idle for longest, or else the one that has been sending a command for longest.
+// One that may be ended by now, or else has asked nothing, or is idle, or has been sending a command for
+// long; of each kind the one for longest.
 Clients::Conns::iterator Clients::dispensable() {
-  const auto idle = std::find_if(conns_.begin(), conns_.end(), [](const auto& conn) { return conn->idle(); });
-  if (idle != conns_.end()) return idle;
-  return std::find_if(conns_.begin(), conns_.end(), [](const auto& conn) { return conn->owes_nothing(); });
+  const auto first = [&](auto fits) {
+    return std::find_if(conns_.begin(), conns_.end(), [&](const auto& conn) { return fits(*conn); });
+  };
+  auto found = first([](const Conn& conn) { return conn.idle() && conn.idle_for(kIdle); });
+  if (found == conns_.end())
+    found = first([](const Conn& conn) { return conn.idle() && !conn.asked_ever(); });
+  if (found == conns_.end()) found = first([](const Conn& conn) { return conn.idle(); });
+  if (found == conns_.end()) found = first([](const Conn& conn) { return conn.owes_nothing(); });
+  return found;
+}
+
+void Clients::end_idle() {
+  sweep_.in(kSweep);
+  std::size_t left = conns_.size();
+  for (auto next = conns_.begin(); next != conns_.end();) {
+    Conn& conn = **next++;
+    if (!conn.owes_nothing() || !conn.idle_for(kIdle)) continue;
+    const char* reason = conn.half_sent() ? "half-sent" : conn.asked_ever() ? "idle" : "silent";
+    if (conn.idle() && conn.asked_ever() && left <= most_ / 2) continue;
+    --left;
+    conn.end(reason);
+  }
 }
 
 void Clients::drain(std::function<void()> done) {
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -2,6 +2,8 @@
 #pragma once
 #include <list>
 #include <memory>
+#include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "decode_terms.hpp"
@@ -36,6 +38,7 @@
   void ready(std::uint32_t events) override;
   void accept_all();
   Conns::iterator dispensable();
+  void end_idle();
   void look_at_drain();
 
   Loop& loop_;
@@ -50,7 +53,9 @@
   std::size_t calls_ = 0;
   Conns conns_;  // the one used last stands last
   std::vector<std::unique_ptr<Call>> finished_;
+  std::unordered_set<std::string_view> open_;  // tags of the calls held
   Timer retry_;
+  Timer sweep_;
   Timer draining_;
   std::function<void()> drained_;
   Span drain_began_{0};
--- a/src/net/exchange.hpp
+++ b/src/net/exchange.hpp
@@ -41,6 +41,8 @@
     }
   }
 
+  bool kept() const { return !kept_.empty(); }
+
  private:
   std::string kept_;
 };
