Workers that are gone and customers without a pool are forgotten

A connection busy while its worker's address or start changed went back among the new one's idle ones. Now a worker gone with no try out goes at the end of the list's news, in all three; each slice has its beat and is dropped a round after it was last seen; a connection older than what was told of its worker ends when free.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -150,10 +150,9 @@
   // What a slice lacks of storing large API calls lets none in by itself. That part of every slice stands in
   // a pool of units from the start, and calls that the store does not cover take from it. Eight largest
   // calls' worth of store is halfway: there slices still refuse what others have room for.
-  if (plan.rate > 0 && terms_.permits.counter && spread > 1) {
+  if (plan.rate > 0 && terms_.permits.counter && spread > 1)
     slice.standing = 1 / (1 + plan.burst * slice.share / (8 * terms_.most_units));
-    state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, found->first));
-  }
+  state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, found->first));
   slice.stored = plan.burst * slice.share * (1 - pooled(slice));
   // The ceiling's local store starts empty: a gatekeeper that starts anew must not fill it a second time.
   slice.filled = now_;
@@ -265,7 +264,7 @@
 
 // Surplus: what the slice fills in a beat beyond demand and a headroom of half, but for one call's units.
 void Choice::give_surplus(const std::string& customer, Slice& slice) {
-  if (now_ < state.counter_quiet_until) return;
+  if (slice.standing <= 0 || now_ < state.counter_quiet_until) return;
   refill(slice);
   const double spare = std::min((slice.rate * (1 - slice.standing) / 2 - slice.demand) * seconds(kBeat),
                                 slice.stored - slice.units);
@@ -552,6 +551,8 @@
     state.room += worker.window;
     state.warm += ramp(worker) >= 1;
   }
+  // Gone and done with, as new machines have new ids.
+  std::erase_if(state.workers, [](auto& one) { return one.second.phase == Phase::gone && !one.second.out; });
   state.room_again = true;
   settle();
 }
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -152,8 +152,16 @@
   drive([&, this] { choice_.list_names(loop_.now(), id, phase, zone, cell, share, started); });
 }
 
+// Whom the decisions no longer know is forgotten here too.
 void Gatekeeper::list_closed() {
-  drive([this] { choice_.list_closes(loop_.now()); });
+  drive([this] {
+    choice_.list_closes(loop_.now());
+    std::erase_if(hosts_, [this](const auto& host) {
+      if (choice_.state.workers.contains(host.first)) return false;
+      servers_.forget(host.first);
+      return ids_.erase(host.second) > 0;
+    });
+  });
 }
 
 void Gatekeeper::count_ended(std::string_view name, Outcome outcome, double total) {
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -94,6 +94,7 @@
     ready(EPOLLIN | EPOLLRDHUP);
     return false;
   }
+  WorkerId worker() const { return worker_; }
   Span idle_since() const { return use_ == Use::idle ? began_ : Span::max(); }
 
  private:
@@ -131,10 +132,15 @@
       end("bad-answer", Outcome::spoilt);
     } else if (spoilt_) {
       end("extra-bytes", Outcome::cancelled);
+    } else if (outdated()) {
+      end("not-needed", Outcome::cancelled);
     }
     return bytes.size();
   }
 
+  // Opened to an address or a process that this worker has left.
+  bool outdated() const { return opened_ < servers_.workers_.at(worker_).since; }
+
   // False where it is no answer to what was asked.
   bool answered(const resp::Reply& reply) {
     if (use_ == Use::probe) {
@@ -172,7 +178,7 @@
     const Use use = std::exchange(use_, Use::idle);
     const Span took = servers_.loop_.now() - began_;
     began_ = servers_.loop_.now();
-    if (!ended_ && !spoilt_) servers_.workers_.at(worker_).idle.push_back(this);
+    if (!ended_ && !spoilt_ && !outdated()) servers_.workers_.at(worker_).idle.push_back(this);
     if (use == Use::probe) return servers_.listener_.probe_ended(worker_, outcome, took);
     servers_.out_.erase(key(call_, try_));
     servers_.listener_.try_ended(call_, try_, worker_, outcome, took, value, units);
@@ -210,9 +216,16 @@
   if (same(worker.address, address) && worker.started == started) return;
   worker.address = address;
   worker.started = started;
+  worker.since = loop_.now();
   close_idle(id);
 }
 
+void Servers::forget(WorkerId id) {
+  for (std::size_t i = conns_.size(); i-- > 0;)
+    if (i < conns_.size() && conns_[i]->worker() == id) conns_[i]->end("not-needed", Outcome::cancelled);
+  workers_.erase(id);
+}
+
 Servers::Conn* Servers::connection_to(WorkerId id) {
   Worker& worker = workers_.at(id);
   const Span settled = loop_.now() - kSettle;
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -35,12 +35,15 @@
   void cancel(CallId call, std::size_t upstream_try);
   void probe(WorkerId worker);
   void close_idle(WorkerId worker);
+  // With no try out there. Its id may be given again.
+  void forget(WorkerId worker);
 
  private:
   class Conn;
   struct Worker {
     Address address{};
     Span started{0};
+    Span since{0};            // when this address and start were told
     std::vector<Conn*> idle;  // the one used last stands last
   };
 
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -636,6 +636,28 @@
   REQUIRE_FALSE(deployment.worker(0).is_called(20));
 }
 
+TEST_CASE("a new worker at the address of one that went inherits no connection, not even one that was busy") {
+  Deployment deployment(1);
+  Line client = deployment.client();
+  std::string asked;
+  Line watch = deployment.take_watch(asked);
+  client.say(lookup("1"));
+  Line before = deployment.next_try().first;
+  before.command();
+  Json list = deployment.hosts(43, true, "in_service");
+  list["hosts"][0]["host"] = "s-new";
+  watch.say(deployment.chunk(list.dump() + "\n"));
+  std::this_thread::sleep_for(50ms);
+  before.say(answer_of("v"));
+  REQUIRE(client.hears(value_of("v")));
+  watch.say(deployment.chunk(deployment.hosts(44, false, "in_service", 9).dump() + "\n"));
+  std::this_thread::sleep_for(50ms);
+  client.say(lookup("2"));
+  deployment.next_try().first.answer(answer_of("w"));
+  REQUIRE(client.hears(value_of("w")));
+  REQUIRE(before.ends());
+}
+
 TEST_CASE("SIGTERM: what comes is taken on, what is held is finished, nothing is reset") {
   Deployment deployment;
   Line held = deployment.client(), idle = deployment.client();
