From a dry pool a call asks for its own units only; kept connections that break blame no worker

Probe (each counter call with pool and amount): a customer at 83 units a second asked a dry pool for 85 units thirty times a second and gave 84 back each time; meanwhile the pool stood at -60 for the other gatekeepers, and each give-back that a reset of the counter cut left it there for seconds. Fault: take_for() added a second's demand to every ask. Also measured: 500 tries broke within 1 ms on connections kept for 50 ms to 1 s, which servers close unheard after a short idle time. learn() took each as a bad end; now such a break is stale and tells nothing of the worker.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -183,12 +183,13 @@
   return std::min(1.0, state.asks * call.units / std::max(state.units, 1e-3));
 }
 
-// An API call that the store does not cover waits for the answer, for its units and a second's demand.
+// It waits for the answer: its units and a second's demand, which in a dry pool would only shut others out.
 void Choice::take_for(CallId id, const ApiCall& call, Slice& slice) {
-  const double ahead = std::max(0.0, slice.demand - call.units / seconds(kMeasure));
+  const bool dry = is_dry(call.customer);
+  const double ahead = dry ? 0 : std::max(0.0, slice.demand - call.units / seconds(kMeasure));
   const double units = std::max(call.units + ahead - slice.stored, 1e-3);
   // Where only some calls ask, each takes for those that do not, but no more than the pool ever holds.
-  const double most = is_dry(call.customer) ? 0 : slice.standing * terms_.plans[slice.plan].burst;
+  const double most = dry ? 0 : slice.standing * terms_.plans[slice.plan].burst;
   const double all = std::max(units, std::min(units / part_asking(call), most));
   count(pool_name(call.customer), {CountFor::api_call, call.customer, units, id}, all);
 }
@@ -219,9 +220,8 @@
     count(name, {CountFor::giving_back, call.customer}, (had / call.units - 1) * call.amount);
     return;
   }
-  // What would fill the pool past the burst is lost. Its first taker says so at once, later ones the sooner
-  // the more it is and of a burst at most, as it costs a call and others may say the same meanwhile. Counters
-  // round: a thousandth of a unit is seen on sockets.
+  // What would fill the pool past the burst is lost. Its first taker (counters round to thousandths) says so
+  // at once, later ones the sooner the more it is and of a burst at most: others may say so meanwhile.
   const bool first = total < 1.0001 * call.amount + 0.001;
   if (left > full && (first || state.chance() * full < (left - full) * double(state.chance.max())))
     count(name, {CountFor::giving_back, call.customer}, std::min(left - full, first ? left : full));
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -68,8 +68,9 @@
     stream_.read(events, [&](std::string_view bytes) { return take(bytes); });
     if (!stream_.over(events)) return;
     // Broken before the last byte was written: the worker never began it.
+    const Outcome broken = tries_ > 1 ? Outcome::stale : Outcome::cut;
     end(stream_.end() == End::peer_closed ? "worker-eof" : "worker-reset",
-        stream_.all_written() ? Outcome::cut : Outcome::no_route);
+        stream_.all_written() ? broken : Outcome::no_route);
   }
 
   void end(const char* reason, Outcome outcome) {
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -15,7 +15,7 @@
 namespace ironquay {
 
 // Spoilt: answered with what is of no use, though it ran. From cancelled on they tell nothing of the worker;
-// unusable is an API call that no worker can use.
+// stale is a cut on a connection kept from before, unusable an API call that no worker can use.
 enum class Outcome {
   passed,
   errored,
@@ -26,6 +26,7 @@
   spoilt,
   cancelled,
   not_sent,
+  stale,
   unusable
 };
 enum class Phase { ready, draining, gone };
--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -203,6 +203,20 @@
   }
 }
 
+// Resets at the counter: a give-back of a second's demand was lost, and a busy customer shut for seconds.
+TEST_CASE("from a pool known to be dry a call asks for its own units only") {
+  Bench bench;
+  Slice& slice = bench.choice.slice_of("c", 0, 2);
+  slice.stored = 0;
+  slice.demand = 50;
+  bench.choice.call_arrives(0s, 1, "c", 0, 0, 4, 0, 2, 3s, false);
+  CHECK(bench.effects.counted.back() > 50);
+  bench.choice.take_for_ends({CountFor::api_call, "c", 54, 1, 54, 0s}, "c:0", 1e5);
+  slice.next_ask = 0s;
+  bench.choice.call_arrives(0s, 2, "c", 0, 0, 4, 0, 2, 3s, false);
+  CHECK(bench.effects.counted.back() == Approx(4));
+}
+
 TEST_CASE("a spoilt answer makes no window smaller, three in a row set its worker aside") {
   Bench bench;
   Worker& worker = bench.worker(1);
