Long values are passed on, a silent counter is noticed in three limits and counts as one sign

Fault: resp.cpp's bound, and servers.cpp's 100 ms from an answer's first byte to its last. Now one answer may take an eighth of what all unfinished ones may (an eighth of the memory limit), and 250 ms may pass between two pieces. 3 GB are still cut off at their head. Then: six silences of the counter's connection, each taking 5 or 6 calls with it and lasting a second. Faults: kSilence of 1 s, and choice.cpp doubled its rest for each call of one silence, from 250 ms to 4 s at once. Now silence is three limits of a call, and what was asked before the last sign is no new one.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -246,10 +246,9 @@
   if (terms_.permits.peer_intake <= 0 || now_ < state.next_tell) return;
   const int spread = static_cast<int>(std::lround(1 / slice.share));
   state.next_tell = now_ + spanning(2 * spread / terms_.permits.peer_intake);
-  const std::string key = std::to_string(key_of(customer));
   for (int i = 0; i < spread; ++i) {
     const int peer = (slice.first + i) % terms_.gatekeepers;
-    if (peer != terms_.me) effects_.tell(peer, key);
+    if (peer != terms_.me) effects_.tell(peer, std::to_string(key_of(customer)));
   }
 }
 
@@ -291,12 +290,14 @@
   // Cut: added, to a total not known. Its answer was spoilt or its connection lost, not the counter.
   const bool unknown = outcome == Outcome::cut, added = outcome == Outcome::passed || unknown;
   // A counter that is silent, refusing or crowded is left alone, twice as long each time; slices stay put.
-  if (!unknown) state.counter_rest = added ? 0s : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
+  // What was asked before the last sign is none: one silence takes all that is out.
+  const bool news = !unknown && (added || call.asked >= state.counter_quiet_until - state.counter_rest);
+  if (news) state.counter_rest = added ? 0s : std::clamp<Span>(2 * state.counter_rest, 250ms, 4s);
   state.counter_quiet_until = now + state.counter_rest;
   // Fewer calls ask while answers are slow: a line at the counter is then half of the time limit long.
   const bool slow = now - call.asked > terms_.permits.counter_limit / 2;
-  state.asks = added && !slow ? std::min(1.0, state.asks + 0.02)
-                              : std::max(1.0 / 64, state.asks * (added ? 0.9 : 0.7));
+  if (added && !slow) state.asks = std::min(1.0, state.asks + 0.02);
+  if (news && (slow || !added)) state.asks = std::max(1.0 / 64, state.asks * (added ? 0.9 : 0.7));
   const auto found = state.slices.find(call.customer);
   if (found == state.slices.end()) return settle();
   Slice& slice = found->second;
@@ -319,7 +320,6 @@
   if (duty == Duty::ask_for_list) return effects_.subscribe(true);
   const auto found = state.slices.find(customer);
   if (found == state.slices.end()) return;
-  // Unseen for a round, a customer is dropped.
   if (now_ - found->second.seen > kRound) return void(state.slices.erase(found));
   give_surplus(customer, found->second);
   state.agenda.emplace(now_ + kBeat, std::pair(Duty::beat, customer));
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -14,9 +14,9 @@
 
 // A PING after so long without an answer to wait for: the counter closes a connection idle for some 10 s.
 constexpr Span kBeat = 2s;
-// A connection with nothing heard for so long while answers are due is given up. A crowded counter works on
-// in turn and is heard of; one that vanished leaves the connection open for ever.
-constexpr Span kSilence = 1s;
+// A connection with nothing heard for so many limits of a call while answers are due is given up. A crowded
+// counter works on in turn and is heard of; one that vanished leaves the connection open for ever.
+constexpr int kSilence = 3;
 // Between a connection's end and the next, doubling while none works. The longest is a quarter of the pause
 // that the decisions make at most, so that the counter is there again when they ask.
 constexpr Span kFirstPause = 100ms, kLongestPause = 1s;
@@ -85,7 +85,7 @@
   Span now() const { return counter_.loop_.now(); }
 
   void write(Call call, std::string_view text) {
-    if (calls_.empty()) heard_ = now();
+    if (calls_.empty()) heard_ = now(), beat_.in(counter_.limit_);
     written_ += text.size();
     call.due = now() + counter_.limit_;
     call.end = written_;
@@ -96,8 +96,8 @@
 
   void ping() {
     if (stream_.up() && calls_.empty()) write({std::string(), {}, 0, true}, "*1\r\n$4\r\nPING\r\n");
-    if (!calls_.empty() && now() - heard_ > kSilence) return end("silent");
-    beat_.in(calls_.empty() ? kBeat : kSilence / 4);
+    if (!calls_.empty() && now() - heard_ > kSilence * counter_.limit_) return end("silent");
+    beat_.in(calls_.empty() ? kBeat : counter_.limit_);
   }
 
   // Calls whose limit has passed end as timed out; their places in the line stay.
@@ -137,8 +137,7 @@
       if (!call.over) counter_.tell(this, {call.name, added ? Outcome::passed : Outcome::no_room, total});
     }
     if (bad_) return bytes.size();
-    whole_.stop();
-    if (at < bytes.size()) whole_.in(counter_.limit_ / 4);
+    at < bytes.size() ? whole_.in(counter_.limit_ / 2) : whole_.stop();
     return at;
   }
 
@@ -156,7 +155,7 @@
   Span heard_;
   Timer over_;
   Timer beat_;
-  Timer whole_;          // an answer that has begun is to be there by then: a quarter of a call's limit
+  Timer whole_;          // the next piece of an answer that has begun comes within half a limit
   bool worked_ = false;  // something came of a call, be it unreadable
   bool bad_ = false;
   bool leaves_ = false;
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -24,7 +24,7 @@
               *this),
       wake_(loop, [this] { drive([this] { choice_.wakes(loop_.now()); }); }),
       clients_(loop, told_.listen, told_.born, connections(told_) * 5 / 8, told_.memory / 4, *this),
-      servers_(loop, told_.born.links, connections(told_) * 3 / 8, *this),
+      servers_(loop, told_.born.links, connections(told_) * 3 / 8, told_.memory / 8, *this),
       list_(loop, told_.discovery, *this) {
   list_.known(std::exchange(told_.known, nullptr));
   list_.watch();
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -33,10 +33,11 @@
   return Parsed::whole;
 }
 
-Parsed bulk(std::string_view bytes, std::size_t& at, Part& part) {
+Parsed bulk(std::string_view bytes, std::size_t& at, Part& part, std::size_t most) {
   const std::size_t start = at;
   long size = 0;
-  if (const Parsed how = count(bytes, at, '$', kMostValue, size); how != Parsed::whole) return how;
+  if (const Parsed how = count(bytes, at, '$', static_cast<long>(most), size); how != Parsed::whole)
+    return how;
   part.null = size < 0;
   if (!part.null) {
     const auto length = static_cast<std::size_t>(size);
@@ -50,9 +51,9 @@
 }
 
 // A bulk string or a line of any other type, as which a report or a figure may come that cannot be read.
-Parsed bulk_or_line(std::string_view bytes, std::size_t& at, Part& part) {
+Parsed bulk_or_line(std::string_view bytes, std::size_t& at, Part& part, std::size_t most) {
   if (at >= bytes.size()) return Parsed::partial;
-  if (bytes[at] == '$') return bulk(bytes, at, part);
+  if (bytes[at] == '$') return bulk(bytes, at, part, most);
   if (bytes[at] != '+' && bytes[at] != '-' && bytes[at] != ':') return Parsed::malformed;
   const std::size_t start = at++;
   const Parsed how = line(bytes, at, part.text);
@@ -70,7 +71,7 @@
   command.count = static_cast<std::size_t>(words);
   for (std::size_t i = 0; i < command.count; ++i) {
     Part part;
-    const Parsed how = bulk(bytes, at, part);
+    const Parsed how = bulk(bytes, at, part, kMostValue);
     if (how == Parsed::partial && bytes.size() > kMostCommand) return Parsed::malformed;
     if (how != Parsed::whole) return how;
     if (part.null || at > kMostCommand) return Parsed::malformed;
@@ -80,7 +81,7 @@
   return Parsed::whole;
 }
 
-Parsed parse_reply(std::string_view bytes, Reply& reply) {
+Parsed parse_reply(std::string_view bytes, Reply& reply, std::size_t most) {
   if (bytes.empty()) return Parsed::partial;
   reply = Reply();
   reply.type = bytes[0];
@@ -93,14 +94,14 @@
     reply.null = parts < 0;
     for (; static_cast<long>(reply.count) < parts; ++reply.count) {
       Part& part = reply.parts[reply.count];
-      const Parsed how = reply.count == 0 ? bulk(bytes, at, part) : bulk_or_line(bytes, at, part);
+      const Parsed how = reply.count == 0 ? bulk(bytes, at, part, most) : bulk_or_line(bytes, at, part, most);
       reply.ragged = reply.count > 0 && how == Parsed::malformed;
       if (reply.ragged) break;
       if (how != Parsed::whole) return how;
     }
   } else if (reply.type == '$') {
     Part part;
-    if (const Parsed how = bulk(bytes, at, part); how != Parsed::whole) return how;
+    if (const Parsed how = bulk(bytes, at, part, most); how != Parsed::whole) return how;
     reply.text = part.text;
     reply.null = part.null;
   } else if (reply.type == '+' || reply.type == '-' || reply.type == ':') {
--- a/src/net/resp.hpp
+++ b/src/net/resp.hpp
@@ -36,8 +36,8 @@
   bool ragged = false;  // what follows the first part cannot be read, and so neither can what comes next
   std::size_t bytes = 0;
 };
-// Partial, the reply holds the parts that are whole.
-Parsed parse_reply(std::string_view bytes, Reply& reply);
+// Partial, the reply holds the parts that are whole. No part may be longer than `most`.
+Parsed parse_reply(std::string_view bytes, Reply& reply, std::size_t most = kMostValue);
 
 // Goes through a list such as "used=37,cost=4".
 template <typename See>
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -13,9 +13,8 @@
 
 using namespace std::chrono_literals;
 
-// From an answer's first byte to its last. A network's first repeat of a lost segment comes in 200 ms, and
-// half of that still leaves time for another try; an answer in parts is rare otherwise.
-constexpr Span kWhole = 100ms;
+// Between two pieces of an answer: a network's first repeat of a lost segment comes in 200 ms.
+constexpr Span kGap = 250ms;
 // What comes unasked comes right behind an answer: for so long a connection is not used again.
 constexpr Span kSettle = 5ms;
 
@@ -113,7 +112,7 @@
     if (stream_.unread().empty()) return end("timed-out", Outcome::timed_out);
     spoilt_ = true;
     resp::Reply reply;
-    resp::parse_reply(stream_.unread(), reply);
+    resp::parse_reply(stream_.unread(), reply, most());
     // Where the value alone is whole, it is good: the rest of the answer was of less use.
     if (!pass(reply)) end("bad-answer", Outcome::spoilt);
     end("bad-answer", Outcome::cancelled);
@@ -122,9 +121,11 @@
   std::size_t take(std::string_view bytes) {
     if (ended_) return bytes.size();
     resp::Reply reply;
-    const resp::Parsed how = resp::parse_reply(bytes, reply);
+    const resp::Parsed how = resp::parse_reply(bytes, reply, most());
     if (how == resp::Parsed::partial && use_ != Use::idle) {
-      if (stream_.unread().empty()) limit_.at(std::min(limit_.when(), servers_.loop_.now() + kWhole));
+      limit_.at(std::min(due_, servers_.loop_.now() + kGap));
+      hold(bytes.size());
+      if (servers_.held_ > servers_.memory_) end("memory", Outcome::spoilt);
       return 0;
     }
     // More than was asked for: it belongs to no try, and what comes next to none either.
@@ -139,6 +140,13 @@
     return bytes.size();
   }
 
+  // Values come longer than they should, and are good. One of them alone is not to fill the memory.
+  std::size_t most() const { return std::max(resp::kMostValue, servers_.memory_ / 8); }
+  void hold(std::size_t bytes) {
+    servers_.held_ += bytes - held_;
+    held_ = bytes;
+  }
+
   // Opened to an address or a process that this worker has left.
   bool outdated() const { return opened_ < servers_.workers_.at(worker_).since; }
 
@@ -176,6 +184,7 @@
   // Free for the next before the listener hears of it, which may send on at once.
   void finish(Outcome outcome, std::string_view value = {}, double units = 0) {
     limit_.stop();
+    hold(0);
     const Use use = std::exchange(use_, Use::idle);
     const Span took = servers_.loop_.now() - began_;
     began_ = servers_.loop_.now();
@@ -197,14 +206,17 @@
   Span began_{0};  // the try, or the idle time
   Span due_{0};
   std::size_t tries_ = 0;
+  std::size_t held_ = 0;  // bytes of an answer that is not yet whole
   bool spoilt_ = false;
   bool ended_ = false;
 };
 
-Servers::Servers(Loop& loop, const Links& links, std::size_t descriptors, Listener& listener)
+Servers::Servers(Loop& loop, const Links& links, std::size_t descriptors, std::size_t memory,
+                 Listener& listener)
     : loop_(loop),
       links_(links),
       most_(std::max<std::size_t>(descriptors, 1)),
+      memory_(memory),
       listener_(listener),
       sweep_(loop, [this] { close_old(); }) {
   sweep_.in(1s);
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -26,7 +26,7 @@
     virtual void probe_ended(WorkerId worker, Outcome outcome, Span took) = 0;
   };
 
-  Servers(Loop& loop, const Links& links, std::size_t descriptors, Listener& listener);
+  Servers(Loop& loop, const Links& links, std::size_t descriptors, std::size_t memory, Listener& listener);
   ~Servers();
 
   // Where it is and when it started: connections to another address or an earlier start are not used again.
@@ -54,7 +54,9 @@
 
   Loop& loop_;
   Links links_;
-  std::size_t most_;  // connections
+  std::size_t most_;      // connections
+  std::size_t memory_;    // bytes of answers not yet whole
+  std::size_t held_ = 0;  // of them
   Listener& listener_;
   std::unordered_map<WorkerId, Worker> workers_;
   std::unordered_map<std::uint64_t, Conn*> out_;  // by API call and upstream try
