Callers that keep their connections make room before they use up their third of the descriptors

Checked and ruled out: refusals by kind (a tenth of them), bounds of the client side (none answered), overflow of the listening queue (none), the restarts (the fall begins before).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -29,6 +29,9 @@
 // With no API call open, a connection may be ended after 2 s. One that has sent no whole command by then is;
 // one that has, while more than half of the places are taken.
 constexpr Span kIdle = 2s, kSweep = 250ms;
+// Clients hold a third of the descriptors for calls at most, and then reach this gatekeeper no more. Above
+// three quarters of that, which is two fifths of the places here, the one idle for longest makes room.
+constexpr std::size_t kCallersOf = 5, kCallers = 2;
 // Far longer than any id; no other bytes than visible ones.
 constexpr std::size_t kMostTag = 64;
 
@@ -87,6 +90,8 @@
   bool owes_nothing() const { return line_.empty() && stream_.all_written(); }
   bool asked_ever() const { return commands_ > 0; }
   bool idle_for(Span time) const { return clients_.loop_.now() - idle_since_ >= time; }
+  bool called_ever() const { return called_; }
+  bool quiet() const { return stream_.quiet(); }
   bool half_sent() const { return !stream_.unread().empty(); }
   // No answer will follow on it, and nothing more of it is read as a command.
   void leave(const char* reason) {
@@ -101,6 +106,7 @@
         reason_ ? reason_ : reason, commands_, line_.size());
     stream_.close();
     clients_.backlog_ -= backlog_;
+    clients_.callers_ -= called_;
     for (auto& call : line_) {
       if (!call->answered_) call->forget_tag();
       call->conn_ = nullptr;
@@ -179,6 +185,7 @@
     }
     if (!wrong && clients_.open_.contains(call.tag)) wrong = "-ERR this id is open already\r\n";
     if (wrong) return call.answer({wrong});
+    if (!std::exchange(called_, true)) clients_.another_caller();
     call.weight_ = command.bytes;
     clients_.held_ += call.weight_;
     const std::size_t cap = clients_.born_.links.open_cap;
@@ -298,6 +305,7 @@
   std::size_t skipped_ = 0;
   std::size_t backlog_ = 0;       // as counted among all
   const char* reason_ = nullptr;  // why no more is taken
+  bool called_ = false;           // carried an API call
   bool corked_ = false;
   bool ended_ = false;
 };
@@ -370,18 +378,27 @@
   loop_.again(token_, EPOLLIN);
 }
 
-// One that may be ended by now, or else has asked nothing, or is idle, or has been sending a command for
-// long; of each kind the one for longest.
+// One that may be ended by now, or else is idle, or has asked nothing yet, or has been sending a command for
+// long; of each kind the one for longest. Where a command has come unread, it is none of them.
 Clients::Conns::iterator Clients::dispensable() {
   const auto first = [&](auto fits) {
-    return std::find_if(conns_.begin(), conns_.end(), [&](const auto& conn) { return fits(*conn); });
+    return std::find_if(conns_.begin(), conns_.end(),
+                        [&](const auto& conn) { return conn->idle() && fits(*conn) && conn->quiet(); });
   };
-  auto found = first([](const Conn& conn) { return conn.idle() && conn.idle_for(kIdle); });
-  if (found == conns_.end())
-    found = first([](const Conn& conn) { return conn.idle() && !conn.asked_ever(); });
-  if (found == conns_.end()) found = first([](const Conn& conn) { return conn.idle(); });
-  if (found == conns_.end()) found = first([](const Conn& conn) { return conn.owes_nothing(); });
-  return found;
+  auto found = first([](const Conn& conn) { return conn.idle_for(kIdle); });
+  if (found == conns_.end()) found = first([](const Conn& conn) { return conn.asked_ever(); });
+  if (found == conns_.end()) found = first([](const Conn&) { return true; });
+  if (found != conns_.end()) return found;
+  return std::find_if(conns_.begin(), conns_.end(),
+                      [](const auto& conn) { return conn->half_sent() && conn->owes_nothing(); });
+}
+
+void Clients::another_caller() {
+  if (++callers_ <= most_ * kCallers / kCallersOf) return;
+  const auto idle = std::find_if(conns_.begin(), conns_.end(), [](const auto& conn) {
+    return conn->called_ever() && conn->idle() && conn->quiet();
+  });
+  if (idle != conns_.end()) (*idle)->end("callers");
 }
 
 void Clients::end_idle() {
@@ -391,7 +408,7 @@
     Conn& conn = **next++;
     if (!conn.owes_nothing() || !conn.idle_for(kIdle)) continue;
     const char* reason = conn.half_sent() ? "half-sent" : conn.asked_ever() ? "idle" : "silent";
-    if (conn.idle() && conn.asked_ever() && left <= most_ / 2) continue;
+    if (conn.idle() && ((conn.asked_ever() && left <= most_ / 2) || !conn.quiet())) continue;
     --left;
     conn.end(reason);
   }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -39,6 +39,7 @@
   void accept_all();
   Conns::iterator dispensable();
   void end_idle();
+  void another_caller();
   void look_at_drain();
 
   Loop& loop_;
@@ -51,6 +52,7 @@
   std::size_t held_ = 0;     // bytes of calls, and of answers that wait for those before them
   std::size_t backlog_ = 0;  // bytes of answers not taken by the system
   std::size_t calls_ = 0;
+  std::size_t callers_ = 0;  // connections that carried a call
   Conns conns_;  // the one used last stands last
   std::vector<std::unique_ptr<Call>> finished_;
   std::unordered_set<std::string_view> open_;  // tags of the calls held
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -840,6 +840,21 @@
                         [](const Line& line) { return !readable(line.fd(), 0); }) == 12);
 }
 
+TEST_CASE("clients that keep their connections do not use up what they may hold for calls") {
+  Deployment deployment(1);
+  deployment.config["limits"]["sockets"] =
+      64;  // 21 for calls; 25 places, two fifths of them for idle callers
+  std::vector<Line> callers;
+  for (int i = 0; i < 14; ++i) {
+    callers.push_back(deployment.client());
+    callers.back().say(lookup(std::to_string(i), "c=lookup,t=team,d=0,units=2,spread=1,first=0"));
+    REQUIRE(callers.back().hear_until("\r\n").substr(0, 5) == "-BUSY");
+  }
+  for (std::size_t i = 0; i < 4; ++i) REQUIRE(callers[i].ends());
+  for (std::size_t i = 4; i < 14; ++i) REQUIRE(callers[i].hears_nothing_for(0));
+  REQUIRE(deployment.logs("reason=callers"));
+}
+
 TEST_CASE("sixty megabytes are cut off with an error, and others are served meanwhile") {
   Deployment deployment(1);
   Line big = deployment.client(), other = deployment.client();
