--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -565,12 +565,10 @@
   RouteSeen& seen = state.routes[route_at];
   // A repeat that has other than a first try's time left runs to its client's own time-out, which tells how
   // long ago the first try was; what is past its latency target earns nothing any more. Where it has the
-  // same, it is younger than that: half is assumed, and of the target at most, as most follow a quick
-  // refusal.
+  // same, it is younger than that: half is assumed.
   if (!repeat) seen.first_left = std::max(seen.first_left, left);
-  const Span most = std::max(Span(0), route.client_timeout - left);
-  const bool same = std::chrono::abs(left - seen.first_left) <= 10ms;
-  const Span spent = !repeat ? Span(0) : same ? std::min(most, route.latency_target) / 2 : most;
+  const int sure = std::chrono::abs(left - seen.first_left) > 10ms ? 1 : 2;
+  const Span spent = repeat ? std::max(Span(0), route.client_timeout - left) / sure : Span(0);
   ApiCall& call = state.calls[id];
   call.route = route_at;
   call.plan = plan_at;
