Silent watches are asked for anew after 2.5 s, objects are cut by structure, ready after discovery

Read off list.cpp: silence was noticed at 6 s, bytes of half a line passed for life, an indented object ended the watch.

Changed: 2.5 s without a whole line, then goes of 500 ms while the old watch is still listened to; goes at a shared service are spread by chance; JSON objects are cut by brackets within 16 MiB and 32 levels; clients are let in once discovery has answered, or after 20 s of silence; after SIGHUP the old watch stands until the new address answers.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -55,13 +55,13 @@
     Loop loop;
     Told told = read_config(Reading::at_start);
     const std::string name = told.name, at = text_of(told.listen);
-    Gatekeeper gatekeeper(loop, std::move(told));
+    Gatekeeper gatekeeper(loop, std::move(told),
+                          [&] { log("ready name=%s listen=%s", name.c_str(), at.c_str()); });
     Signals signals(loop, [&](int signal) {
       if (signal == SIGHUP) return reload(gatekeeper);
       log("drain name=%s", name.c_str());
       gatekeeper.drain();
     });
-    log("ready name=%s listen=%s", name.c_str(), at.c_str());
     loop.run();
     log("over name=%s", name.c_str());
     return 0;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -117,7 +117,7 @@
     }
     line_.clear();
     // One may have been kept waiting for this place.
-    if (clients_.conns_.size() >= clients_.most_) clients_.loop_.again(clients_.token_, EPOLLIN);
+    if (clients_.conns_.size() >= clients_.most_) clients_.loop_.again(*clients_.token_, EPOLLIN);
     clients_.loop_.bury(std::move(*place_));
     clients_.conns_.erase(place_);
   }
@@ -337,24 +337,32 @@
     : loop_(loop),
       born_(born),
       listener_(listener),
-      socket_(listen_at(address)),
-      token_(0),
+      address_(address),
+      socket_(bind_at(address)),
       most_(std::max<std::size_t>(descriptors, 1)),
       memory_(memory),
       retry_(loop, [this] { accept_all(); }),
       sweep_(loop, [this] { end_idle(); }),
       draining_(loop, [this] { look_at_drain(); }) {
   if (!socket_) throw std::system_error(errno, std::generic_category(), "listening at " + text_of(address));
-  token_ = loop.watch(socket_.get(), *this);
   sweep_.in(kSweep);
 }
 
-Clients::~Clients() { loop_.drop(token_); }
+void Clients::open() {
+  if (token_ || !socket_) return;
+  if (!listen_on(socket_))
+    throw std::system_error(errno, std::generic_category(), "listening at " + text_of(address_));
+  token_ = loop_.watch(socket_.get(), *this);
+}
+
+Clients::~Clients() {
+  if (token_) loop_.drop(*token_);
+}
 
 void Clients::ready(std::uint32_t) { accept_all(); }
 
 void Clients::accept_all() {
-  if (!socket_) return;
+  if (!socket_ || !token_) return;
   // A flood of connections takes turns with the rest.
   for (int turns = 0; turns < 64; ++turns) {
     // Full, and all are busy: those that end make room.
@@ -375,7 +383,7 @@
     conns_.push_back(std::make_unique<Conn>(*this, std::move(fd), peer));
     conns_.back()->place_ = std::prev(conns_.end());
   }
-  loop_.again(token_, EPOLLIN);
+  loop_.again(*token_, EPOLLIN);
 }
 
 // One that may be ended by now, or else is idle, or has asked nothing yet, or has been sending a command for
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <list>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_set>
 #include <vector>
@@ -23,10 +24,11 @@
     virtual void client_left(Exchange& exchange) = 0;
   };
 
-  // Throws std::system_error where the address cannot be listened at.
+  // Takes the address; throws std::system_error where it cannot. Nobody gets through before open().
   Clients(Loop& loop, const Address& address, const Born& born, std::size_t descriptors, std::size_t memory,
           Listener& listener);
   ~Clients() override;
+  void open();
   // Takes on for as long as connections come, ends each between commands, then calls `done` once.
   void drain(std::function<void()> done);
 
@@ -45,15 +47,16 @@
   Loop& loop_;
   const Born& born_;
   Listener& listener_;
+  Address address_;
   Fd socket_;
-  Loop::Token token_;
-  std::size_t most_;         // connections
-  std::size_t memory_;       // bytes of both of the below
-  std::size_t held_ = 0;     // bytes of calls, and of answers that wait for those before them
-  std::size_t backlog_ = 0;  // bytes of answers not taken by the system
+  std::optional<Loop::Token> token_;  // once it is open
+  std::size_t most_;                  // connections
+  std::size_t memory_;                // bytes of both of the below
+  std::size_t held_ = 0;              // bytes of calls, and of answers that wait for those before them
+  std::size_t backlog_ = 0;           // bytes of answers not taken by the system
   std::size_t calls_ = 0;
   std::size_t callers_ = 0;  // connections that carried a call
-  Conns conns_;  // the one used last stands last
+  Conns conns_;              // the one used last stands last
   std::vector<std::unique_ptr<Call>> finished_;
   std::unordered_set<std::string_view> open_;  // tags of the calls held
   Timer retry_;
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -8,6 +8,9 @@
 // Epoll, signals, list, counter, peers, the listener, the three standard ones, and room for a moment's
 // overlap.
 constexpr std::size_t kOwnDescriptors = 24;
+// What the agent has counts as told from the first moment, and the known list may be old. The platform gives
+// thirty seconds to get ready: with a third of them left, an agent still silent is taken to be dead.
+constexpr std::chrono::seconds kPatience(20);
 
 std::size_t connections(const Told& told) {
   return told.descriptors > 2 * kOwnDescriptors ? told.descriptors - kOwnDescriptors : kOwnDescriptors;
@@ -17,23 +20,39 @@
 
 // Clients may get five eighths of the connections: a call held has one of theirs, and one at a worker at most
 // while it is out, so that a worker's lack shows as a wait of its calls and never as calls not taken.
-Gatekeeper::Gatekeeper(Loop& loop, Told told)
+Gatekeeper::Gatekeeper(Loop& loop, Told told, std::function<void()> ready)
     : loop_(loop),
       told_(std::move(told)),
       choice_(told_.born.terms, static_cast<std::uint32_t>(told_.seed ^ (told_.seed >> 32)), loop.now(),
               *this),
       wake_(loop, [this] { drive([this] { choice_.wakes(loop_.now()); }); }),
+      patience_(loop, [this] { open("silent discovery"); }),
+      ready_(std::move(ready)),
       clients_(loop, told_.listen, told_.born, connections(told_) * 5 / 8, told_.memory / 4, *this),
       servers_(loop, told_.born.links, connections(told_) * 3 / 8, told_.memory / 8, *this),
-      list_(loop, told_.discovery, *this) {
+      list_(loop, told_.discovery,
+            told_.born.terms.permits.list_on_request ? List::At::shared_service : List::At::agent,
+            static_cast<std::uint32_t>(told_.seed), *this) {
   list_.known(std::exchange(told_.known, nullptr));
   list_.watch();
   if (told_.counter && told_.born.terms.permits.counter)
     counter_ = std::make_unique<Counter>(loop, *told_.counter, told_.born.terms.permits.counter_limit, *this);
   if (told_.peer_listen)
     peers_ = std::make_unique<Peers>(loop, *told_.peer_listen, told_.peers, told_.peers_all, *this);
+  // A shared service may answer much later; what it has counts as told only when it is asked for.
+  patience_.in(told_.born.terms.permits.list_on_request ? Span(0) : kPatience);
 }
 
+void Gatekeeper::open(const char* by) {
+  patience_.stop();
+  if (!ready_) return;
+  log("open by=%s", by);
+  clients_.open();
+  std::exchange(ready_, nullptr)();
+}
+
+void Gatekeeper::list_answers() { open("list"); }
+
 void Gatekeeper::reconfigure(const Told& told) {
   list_.move_to(told.discovery);
   if (counter_ && told.counter) counter_->move_to(*told.counter);
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -25,7 +25,8 @@
                    public Counter::Listener,
                    public Peers::Listener {
  public:
-  Gatekeeper(Loop& loop, Told told);
+  // Calls `ready` once it takes clients: when discovery has said what it has, or has been silent for long.
+  Gatekeeper(Loop& loop, Told told, std::function<void()> ready);
   // Goes over to the addresses of list and counter in it; the rest counts from the next start on.
   void reconfigure(const Told& told);
   // Finishes what is held and stops the loop.
@@ -57,11 +58,13 @@
   void worker_named(std::string_view host, const Address& address, Phase phase, std::string_view zone,
                     std::int64_t cell, double share, Span started) override;
   void list_closed() override;
+  void list_answers() override;
   void count_ended(std::string_view name, Outcome outcome, double total) override;
   void peer_said(int peer, std::string_view bytes) override;
 
   template <typename Event>
   void drive(Event event);
+  void open(const char* by);
   WorkerId id_of(std::string_view host);
   Exchange* taken(CallId call);
 
@@ -75,6 +78,8 @@
   bool deciding_ = false;
   std::deque<std::function<void()>> later_;  // what happened while the decisions were being made
   Timer wake_;
+  Timer patience_;  // with discovery at the start
+  std::function<void()> ready_;
   Clients clients_;
   Servers servers_;
   List list_;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -1,9 +1,13 @@
 #include "list.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "http.hpp"
 #include "log.hpp"
+#include "objects.hpp"
+#include "stream.hpp"
 
 namespace ironquay::net {
 namespace {
@@ -11,13 +15,19 @@
 using namespace std::chrono_literals;
 using Json = nlohmann::json;
 
-// An empty line comes every 2 s: three of them missing is no sign of life.
-constexpr Span kSilence = 6s;
-// Pauses between connections double from the first to the second. Discovery has a second's worth to say at
-// most.
-constexpr Span kFirstPause = 100ms, kLongestPause = 2s;
-// A list of ten thousand workers has some two megabytes.
-constexpr std::size_t kMostLine = 16 * 1024 * 1024;
+// A line comes every 2 s, and what a silent watch misses counts as told after 6 s: a quarter of a line's time
+// later it is taken to be broken, which leaves room for half a dozen goes.
+constexpr Span kSilence = 2500ms;
+// An agent on this machine answers at once or is silent. It answers what was asked meanwhile when it speaks
+// again; where one does not, the next go is no later than a drain's grace.
+constexpr Span kGo = 500ms, kLongestPause = 400ms;
+// A shared service works through a line, so an answer may take long, and asking again makes the line longer.
+constexpr Span kSharedGo = 2s, kLongestSharedPause = 2s;
+// Later than any clock shows; what lies beyond is no time.
+constexpr double kLatestMs = 1e14;
+// Pauses double from the first. The first go at a shared service is spread over as much as makes hundreds of
+// gatekeepers that start together no burst.
+constexpr Span kFirstPause = 100ms, kSpread = 500ms;
 
 template <typename T>
 T value_or(const Json& from, const char* key, T otherwise) {
@@ -27,89 +37,148 @@
     return found->is_string() ? found->get<T>() : otherwise;
   else if constexpr (std::is_same_v<T, bool>)
     return found->is_boolean() ? found->get<T>() : otherwise;
+  else if constexpr (std::is_integral_v<T>)
+    return found->is_number_integer() ? found->get<T>() : otherwise;
   else
     return found->is_number() ? found->get<T>() : otherwise;
 }
 
 }  // namespace
 
-List::List(Loop& loop, const Address& address, Listener& listener)
+class List::Watch : public Loop::Handler {
+ public:
+  Watch(List& list, Fd fd, std::int64_t from)
+      : list_(list), address_(list.address_), stream_(list.loop_, std::move(fd), *this, false) {
+    std::string path = "/discovery/hosts?watch=1";
+    if (from >= 0) path += "&from=" + std::to_string(from);
+    stream_.write({http::get(path, text_of(address_))});
+  }
+
+  void ready(std::uint32_t events) override {
+    if (!stream_.wake(events)) {
+      if (stream_.end() != End::open) list_.over(*this, "refused");
+      return;
+    }
+    bool bad = false;
+    stream_.read(events, [&](std::string_view bytes) {
+      return answer_.take(bytes, [&](std::string_view piece) {
+        if (answer_.status() != 200 || bad || ended_) return;
+        const auto object = [&](std::string_view text) {
+          if (ended_) return;
+          ++lines_;
+          list_.object(*this, text);
+        };
+        const auto line = [&] {
+          if (!ended_) list_.heard(*this);
+        };
+        bad = !objects_.take(piece, object, line);
+      });
+    });
+    if (ended_) return;
+    if (bad || answer_.stage() == http::Answer::Stage::malformed) return list_.over(*this, "bad-answer");
+    if (answer_.status() != 0 && answer_.status() / 100 != 1 && answer_.status() != 200)
+      return list_.over(*this, "bad-status");
+    if (answer_.stage() == http::Answer::Stage::whole) return list_.over(*this, "watch-over");
+    if (stream_.over(events))
+      list_.over(*this, stream_.end() == End::peer_closed ? "list-eof" : "list-reset");
+  }
+
+  void end(const char* reason) {
+    ended_ = true;
+    log("end peer=list addr=%s reason=%s lines=%zu version=%lld", text_of(address_).c_str(), reason, lines_,
+        static_cast<long long>(list_.version_));
+    stream_.close();
+  }
+  const Address& address() const { return address_; }
+
+ private:
+  List& list_;
+  Address address_;
+  Stream stream_;
+  http::Answer answer_;
+  Objects objects_;
+  std::size_t lines_ = 0;
+  bool ended_ = false;
+};
+
+List::List(Loop& loop, const Address& address, At at, std::uint32_t seed, Listener& listener)
     : loop_(loop),
       address_(address),
+      at_(at),
       listener_(listener),
-      silence_(loop, [this] { no_sign(); }),
-      again_(loop, [this] { watch(); }) {}
+      chance_(seed),
+      silence_(loop, [this] { stood_silent(); }),
+      patience_(loop, [this] { unanswered(); }),
+      again_(loop, [this] { ask(); }) {}
+
+List::~List() = default;
 
 void List::known(const Json& list) {
   if (!list.is_null() && !read(list, true)) log("known list is unreadable");
 }
 
+void List::watch() {
+  if (at_ == At::agent) return ask();
+  again_.in(by_chance(kSpread / 2));
+}
+
 void List::refresh() {
   version_ = -1;
-  if (stream_) end("refresh");
-  watch();
+  if (asking_) over(*asking_, "refresh");
+  if (standing_) over(*standing_, "refresh");
+  ask();
 }
 
 // Versions may be counted anew there, so the whole list is asked for.
 void List::move_to(const Address& address) {
   if (same(address, address_)) return;
-  version_ = -1;
-  if (stream_) end("moved");
   address_ = address;
+  version_ = -1;
   pause_ = Span(0);
-  watch();
+  if (asking_) over(*asking_, "moved");
+  ask();
 }
 
-void List::watch() {
-  if (stream_) return;
+// At any time in twice the mean, so that gatekeepers that were turned away together do not come back
+// together.
+Span List::by_chance(Span mean) {
+  return Span(std::uniform_int_distribution<Span::rep>(mean.count() / 4, mean.count() * 7 / 4)(chance_));
+}
+
+void List::ask() {
   again_.stop();
+  if (asking_) return;
   Fd fd = connect_to(address_);
   if (!fd) return again_.in(kLongestPause);
-  answer_ = http::Answer();
-  line_.clear();
-  lines_ = 0;
-  bad_ = false;
-  stream_ = std::make_unique<Stream>(loop_, std::move(fd), *this, false);
-  std::string path = "/discovery/hosts?watch=1";
-  if (version_ >= 0) path += "&from=" + std::to_string(version_);
-  stream_->write({http::get(path, text_of(address_))});
-  silence_.in(kSilence);
+  asking_ = std::make_unique<Watch>(*this, std::move(fd), version_);
+  patience_.in(at_ == At::agent ? kGo : kSharedGo);
 }
 
-void List::no_sign() {
-  if (stream_) end("silent");
-}
-
-void List::ready(std::uint32_t events) {
-  if (!stream_) return;
-  if (!stream_->wake(events)) {
-    if (stream_->end() != End::open) end("refused");
-    return;
+// Something whole came: the one that was asked stands from now on, and one that stands needs no other.
+void List::heard(Watch& watch) {
+  if (&watch == asking_.get()) {
+    patience_.stop();
+    if (standing_) {
+      standing_->end("replaced");
+      loop_.bury(std::move(standing_));
+    }
+    standing_ = std::move(asking_);
+  } else if (asking_ && same(watch.address(), address_)) {
+    patience_.stop();
+    asking_->end("not-needed");
+    loop_.bury(std::move(asking_));
   }
-  stream_->read(events, [&](std::string_view bytes) {
-    silence_.in(kSilence);
-    return answer_.take(bytes, [&](std::string_view piece) {
-      for (auto stop = piece.find('\n'); stop != std::string_view::npos; stop = piece.find('\n')) {
-        line_.empty() ? line(piece.substr(0, stop)) : line(line_.append(piece.substr(0, stop)));
-        line_.clear();
-        piece.remove_prefix(stop + 1);
-      }
-      line_.append(piece);
-      bad_ = bad_ || line_.size() > kMostLine;
-    });
-  });
-  if (!stream_) return;
-  if (bad_ || answer_.stage() == http::Answer::Stage::malformed) return end("bad-answer");
-  if (answer_.status() != 0 && answer_.status() != 200) return end("bad-status");
-  if (answer_.stage() == http::Answer::Stage::whole) return end("watch-over");
-  if (stream_->over(events)) end(stream_->end() == End::peer_closed ? "list-eof" : "list-reset");
+  pause_ = Span(0);
+  silence_.in(kSilence);
+  if (!std::exchange(answered_, true)) listener_.list_answers();
 }
 
-void List::line(std::string_view text) {
-  if (answer_.status() != 200 || text.find_first_not_of(" \r\t") == std::string_view::npos) return;
-  if (!read(Json::parse(text, nullptr, false), false)) bad_ = true;
-  ++lines_;
-  pause_ = Span(0);
+void List::object(Watch& watch, std::string_view text) {
+  const std::int64_t before = version_;
+  if (!read(Json::parse(text, nullptr, false), false)) return over(watch, "bad-answer");
+  // What the address before still says is true, but its versions are its own.
+  if (!same(watch.address(), address_)) version_ = before;
+  heard(watch);
 }
 
 // False where it is no list; an entry that cannot be read is passed over.
@@ -132,22 +201,36 @@
       log("list entry passed over host='%s' dial='%s'", host.c_str(), dial.c_str());
       continue;
     }
-    listener_.worker_named(host, address.value_or(Address{}), phase, value_or<std::string>(one, "site", ""),
-                           value_or<std::int64_t>(one, "block", 0), value_or(one, "share", 1.0),
-                           Span(static_cast<std::int64_t>(value_or(one, "born_ms", 0.0) * 1000)));
+    listener_.worker_named(
+        host, address.value_or(Address{}), phase, value_or<std::string>(one, "site", ""),
+        value_or<std::int64_t>(one, "block", 0), value_or(one, "share", 1.0),
+        Span(std::llround(std::clamp(value_or(one, "born_ms", 0.0), 0.0, kLatestMs) * 1000)));
   }
   listener_.list_closed();
   return true;
 }
 
-void List::end(const char* reason) {
-  log("end peer=list addr=%s reason=%s lines=%zu version=%lld", text_of(address_).c_str(), reason, lines_,
+void List::over(Watch& watch, const char* reason) {
+  const bool stood = &watch == standing_.get();
+  watch.end(reason);
+  (stood ? silence_ : patience_).stop();
+  loop_.bury(std::move(stood ? standing_ : asking_));
+  if (asking_ || again_.set()) return;
+  const Span longest = at_ == At::agent ? kLongestPause : kLongestSharedPause;
+  pause_ = std::clamp<Span>(2 * pause_, kFirstPause, longest);
+  again_.in(by_chance(pause_));
+}
+
+// It may be broken, or discovery is down: another is asked for while this one is still listened to.
+void List::stood_silent() {
+  log("list silent addr=%s version=%lld", text_of(standing_->address()).c_str(),
       static_cast<long long>(version_));
-  stream_->close();
-  buried_ = std::move(stream_);
-  silence_.stop();
-  pause_ = std::clamp<Span>(2 * pause_, kFirstPause, kLongestPause);
-  again_.in(pause_);
+  ask();
+}
+
+void List::unanswered() {
+  over(*asking_, "no-answer");
+  if (at_ == At::agent) ask();
 }
 
 }  // namespace ironquay::net
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -1,19 +1,19 @@
-// The list of workers: what was known at the start, then a watch on discovery.
+// The list of workers: what was known at the start, then a watch on discovery that is asked for anew whenever
+// it falls silent.
 #pragma once
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <random>
 #include <string>
 #include <string_view>
 
-#include "http.hpp"
 #include "loop.hpp"
 #include "socket.hpp"
 #include "state.hpp"
-#include "stream.hpp"
 
 namespace ironquay::net {
 
-class List : public Loop::Handler {
+class List {
  public:
   class Listener {
    public:
@@ -22,33 +22,46 @@
     virtual void worker_named(std::string_view host, const Address& address, Phase phase,
                               std::string_view zone, std::int64_t cell, double share, Span started) = 0;
     virtual void list_closed() = 0;
+    // The first time that discovery says anything.
+    virtual void list_answers() = 0;
   };
 
-  List(Loop& loop, const Address& address, Listener& listener);
+  // At an agent of this machine's own asking costs nothing; a service that all gatekeepers share is asked
+  // seldom, and by each at another time.
+  enum class At { agent, shared_service };
+
+  List(Loop& loop, const Address& address, At at, std::uint32_t seed, Listener& listener);
+  ~List();
   void known(const nlohmann::json& list);
   void watch();    // from the last version heard of; goes on until the program ends
   void refresh();  // the same, with the whole list first
+  // The watch in hand stands until the new address has answered.
   void move_to(const Address& address);
 
  private:
-  void ready(std::uint32_t events) override;
-  void line(std::string_view text);
+  class Watch;
+
+  void ask();
+  void heard(Watch& watch);
+  void object(Watch& watch, std::string_view text);
+  void over(Watch& watch, const char* reason);
+  void stood_silent();
+  void unanswered();
   bool read(const nlohmann::json& list, bool cached);
-  void end(const char* reason);
-  void no_sign();
+  Span by_chance(Span mean);
 
   Loop& loop_;
   Address address_;
+  At at_;
   Listener& listener_;
-  std::unique_ptr<Stream> stream_;
-  std::unique_ptr<Stream> buried_;  // the one before, which may be what is being read
-  http::Answer answer_;
-  std::string line_;
-  std::int64_t version_ = -1;
-  std::size_t lines_ = 0;
-  bool bad_ = false;
+  std::unique_ptr<Watch> standing_;  // has answered; may have fallen silent since
+  std::unique_ptr<Watch> asking_;    // has not answered yet
+  std::int64_t version_ = -1;        // last heard of at this address
+  bool answered_ = false;
   Span pause_{0};
-  Timer silence_;
+  std::ranlux24_base chance_;
+  Timer silence_;   // of the standing one
+  Timer patience_;  // with the asking one
   Timer again_;
 };
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -61,15 +61,21 @@
   return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
 }
 
-Fd listen_at(const Address& address) {
+Fd bind_at(const Address& address) {
   Fd fd(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
-  if (!fd || setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 || !bound(fd, address) ||
-      listen(fd.get(), SOMAXCONN) != 0)
+  if (!fd || setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 || !bound(fd, address))
     return Fd();
   return fd;
 }
 
+bool listen_on(const Fd& fd) { return listen(fd.get(), SOMAXCONN) == 0; }
+
+Fd listen_at(const Address& address) {
+  Fd fd = bind_at(address);
+  return fd && listen_on(fd) ? std::move(fd) : Fd();
+}
+
 Fd accept_from(const Fd& listener, Address& peer) {
   socklen_t size = sizeof peer;
   Fd fd(accept4(listener.get(), reinterpret_cast<sockaddr*>(&peer), &size, SOCK_NONBLOCK | SOCK_CLOEXEC));
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -34,6 +34,9 @@
 bool same(const Address& a, const Address& b);
 
 // All are non-blocking and closed on exec; empty with errno set where the system says no.
+// Bound, so that the address is ours, but closed to callers until listen_on().
+Fd bind_at(const Address& address);
+bool listen_on(const Fd& fd);
 Fd listen_at(const Address& address);
 Fd accept_from(const Fd& listener, Address& peer);
 Fd connect_to(const Address& address);
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -266,9 +266,10 @@
     REQUIRE(posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments, variables) == 0);
     posix_spawn_file_actions_destroy(&files);
   }
-  // Started, and ready for clients.
+  // Started, its watch answered, and ready for clients.
   Line client() {
     if (pid_ == 0) start();
+    if (asked_.empty()) watch_ = answer_watch();
     const auto until = Clock::now() + std::chrono::milliseconds(kPatience);
     while (Clock::now() < until) {
       Line line(connect_to(listen_));
@@ -307,11 +308,17 @@
     }
     return list;
   }
-  // Takes the watch, up to the end of the answer's head.
+  // Takes the watch, which has been told that nothing changed.
   Line take_watch(std::string& asked) {
+    Line watch = watch_.fd() ? std::move(watch_) : answer_watch();
+    asked = asked_;
+    return watch;
+  }
+  Line answer_watch() {
     Line watch = list.accept();
-    asked = watch.hear_until("\r\n\r\n");
-    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    asked_ = watch.hear_until("\r\n\r\n");
+    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(R"({"hosts":[]})"
+                                                                              "\n"));
     return watch;
   }
   static std::string chunk(const std::string& text) {
@@ -363,6 +370,8 @@
   std::size_t workers_;
   std::vector<Stand> stands_;
   std::string folder_;
+  Line watch_;
+  std::string asked_;
   Address listen_{};
   Fd peer_fd_;
   pid_t pid_ = 0;
@@ -654,6 +663,76 @@
   REQUIRE_FALSE(deployment.worker(0).is_called(20));
 }
 
+TEST_CASE("nothing is taken on before discovery has answered, whatever the known list says") {
+  Deployment deployment(1);
+  deployment.start();
+  const Line silent = deployment.list.accept();
+  const Line again = deployment.list.accept();  // half a second later, and so on
+  Line barred(connect_to(deployment.address()));
+  barred.say("*1\r\n$4\r\nPING\r\n");
+  REQUIRE(barred.ends());  // refused
+  REQUIRE(deployment.log().find("ready") == std::string::npos);
+  std::string asked;
+  Line watch = deployment.take_watch(asked);
+  REQUIRE(asked.find("from=41 ") != std::string::npos);
+  watch.say(deployment.chunk(deployment.hosts(42, true, "terminating").dump()));
+  REQUIRE(deployment.logs("ready"));
+  Line client = deployment.client();
+  client.say(lookup("1"));
+  REQUIRE(deployment.no_try_for(50));
+}
+
+TEST_CASE(
+    "bytes of half a line are no sign of life: a silent watch is asked for anew, and stands meanwhile") {
+  Deployment deployment(2);
+  Line client = deployment.client();
+  std::string asked;
+  Line watch = deployment.take_watch(asked);
+  watch.say("400\r\n{");
+  const auto began = Clock::now();
+  int said = 0;
+  while (!deployment.list.is_called(100) && ++said < 60) watch.say(" ");
+  REQUIRE(Clock::now() - began > 2s);
+  REQUIRE(Clock::now() - began < 4s);  // well inside 6 s, with time for another go
+  const Line unanswered = deployment.list.accept();
+  Line again = deployment.take_watch(asked);
+  REQUIRE(asked.find("from=41 ") != std::string::npos);
+  again.say(deployment.chunk(deployment.hosts(42, false, "terminating", 0).dump(1) + "\n"));
+  REQUIRE(watch.ends());
+  for (int i = 0; i < 4; ++i) client.say(lookup(std::to_string(i)));
+  for (int i = 0; i < 2; ++i) REQUIRE(deployment.next_try().second == 1);
+  REQUIRE_FALSE(deployment.worker(0).is_called(20));
+}
+
+TEST_CASE("a list of wrong types, too deep or cut short costs its watch and changes nothing") {
+  for (const std::string& text :
+       {std::string("[]"), std::string(R"({"seq":42,"whole":true,"hosts":{}})"), std::string("{\"hosts\" 1}"),
+        std::string("x"), "{\"a\":" + std::string(40, '[')}) {
+    Deployment deployment(1);
+    Line client = deployment.client();
+    std::string asked;
+    Line watch = deployment.take_watch(asked);
+    watch.say(deployment.chunk(text));
+    INFO(text.substr(0, 40));
+    REQUIRE(watch.ends());
+    REQUIRE(deployment.logs("reason=bad-answer"));
+    Line again = deployment.take_watch(asked);
+    REQUIRE(asked.find("from=41 ") != std::string::npos);
+    again.say("ffffffffffffffffffff\r\n");
+    REQUIRE(again.ends());
+    Line third = deployment.take_watch(asked);
+    third.say(deployment.chunk(
+        R"({"seq":1e300,"hosts":[7,{"host":"s-9","dial":"127.0.0.1:0","health":"in_service"},)"
+        R"({"host":"s-0","born_ms":1e300,"health":"draining"},)"
+        R"({"host":"s-0","dial":)" +
+        Json(deployment.worker(0).address()).dump() +
+        R"(,"health":"in_service","block":1e99,"site":3,"share":"x"}]})"));
+    client.say(lookup("1"));
+    deployment.next_try().first.answer(answer_of("v"));
+    REQUIRE(client.hears(value_of("v")));
+  }
+}
+
 TEST_CASE("a new worker at the address of one that went inherits no connection, not even one that was busy") {
   Deployment deployment(1);
   Line client = deployment.client();
@@ -757,9 +836,11 @@
   deployment.config["counter"] = counter_now.address();
   deployment.write_config(deployment.config.dump());
   deployment.tell(SIGHUP);
-  REQUIRE(watch.ends());
-  Line watch_now(list.accept());
+  Line unheard(list.accept()), watch_now(list.accept());  // the first go stays without an answer
   REQUIRE(watch_now.hear_until("\r\n\r\n").find("GET /discovery/hosts?watch=1 HTTP/1.1\r\n") == 0);
+  REQUIRE(watch.hears_nothing_for(20));  // it stands until the new address has answered
+  watch_now.say("HTTP/1.1 200 OK\r\n\r\n" + deployment.hosts(7, true, "in_service").dump(2));
+  REQUIRE(watch.ends());
   // The third is answered first, and the answers still reach their own calls: the pool has room for one.
   client.say(lookup("3", marks + "8"));
   Line line(counter_now.accept());
--- a/test/parser_test.cpp
+++ b/test/parser_test.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "net/http.hpp"
+#include "net/objects.hpp"
 #include "net/resp.hpp"
 #include "net/socket.hpp"
 
@@ -103,6 +104,30 @@
   }
 }
 
+TEST_CASE("objects are cut by their structure, over lines and in pieces of any size") {
+  const std::string one = "{\n \"a\": [1, {\"}\": \"\\\"{\"}],\r\n\"b\": {}\n}", two = "{}";
+  const std::string text = one + "\r\n\n \t" + two + two + "\n";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    Objects objects;
+    std::vector<std::string> cut;
+    int lines = 0;
+    for (std::size_t at = 0; at < text.size(); at += step)
+      REQUIRE(objects.take(
+          std::string_view(text).substr(at, step), [&](std::string_view object) { cut.emplace_back(object); },
+          [&] { ++lines; }));
+    REQUIRE(cut == std::vector<std::string>{one, two, two});
+    REQUIRE(lines == 3);
+  }
+  for (const std::string& bad : {std::string("x"), std::string("]"), "{\"a\":" + std::string(32, '['),
+                                 "{" + std::string(17 << 20, ' ')}) {
+    Objects objects;
+    REQUIRE_FALSE(objects.take(
+        bad, [](std::string_view) {}, [] {}));
+    REQUIRE_FALSE(objects.take(
+        "{}", [](std::string_view) { FAIL("cut after an end"); }, [] {}));
+  }
+}
+
 TEST_CASE("a sized answer and one that ends with its connection") {
   http::Answer sized, open;
   REQUIRE(body_of(sized, "HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nxyz", 1) == "xy");
