--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -592,14 +592,11 @@
   if (seen.work > 0) state.rank += (state.rank < 0 ? 0.02 : 1) * (call.rank - state.rank);
   const bool room_at_once = plan.at_once <= 0 || slice.out < std::max(1.0, plan.at_once * slice.share);
   call.beyond = true;  // nothing is taken yet
-  // A call that the store does not cover asks the pool, as far as the counter takes calls; a repeat not where
-  // the pool is known to be dry, as what was rate-limited would be asked about over and over. The rest passes
-  // unless the pool is known to be dry, until a gatekeeper has let in a quarter of the burst since it last
-  // took.
+  // A call that the store does not cover asks the pool, as far as the counter takes calls. Repeats do not:
+  // what was rate-limited would be asked about over and over. The rest passes unless the pool is known to be
+  // empty, until a gatekeeper has let in a quarter of the burst since it last took.
   const bool pool = pooled(slice) > 0 && slice.stored < units;
-  const bool spared = repeat && (state.open < 0.9 || is_dry(call.customer));
-  const double part = part_asking(call) * (repeat ? state.asks : 1);
-  const bool asks = pool && !spared && state.chance() <= part * double(state.chance.max());
+  const bool asks = pool && !repeat && state.chance() <= part_asking(call) * double(state.chance.max());
   bool inside = plan.rate <= 0 || slice.stored > 0;
   if (pool) {
     inside = !asks && !repeat && !is_dry(call.customer) && slice.unasked < slice.standing * plan.burst / 4;
