A drain lasts while connections are open; a shared discovery is waited for instead of asked again

Read off clients.cpp: a connection told to go elsewhere was closed after 1 s, and the program left 2.45 s after SIGTERM whatever was open. What discovery gives out is its own limit; goes that are turned away at once cost it little.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -22,8 +22,9 @@
 constexpr std::size_t kMostCalls = 1024, kMostUnwritten = 256 * 1024;
 // New connections come for 0.4 s after SIGTERM at most; then what is idle is told to go elsewhere.
 constexpr Span kTakeOn = 450ms;
-// For so long a connection that was told of its end may take to end its own side, and so much it may send
-// meanwhile: what was under way when it was told, at a few buffers.
+// For so long a connection that was told of its end may take to end its own side (in a drain for as long as
+// any client waits), and so much it may send meanwhile: what was under way when it was told, at a few
+// buffers.
 constexpr Span kLinger = 1s;
 constexpr std::size_t kMostSkipped = 1024 * 1024;
 // With no API call open, a connection may be ended after 2 s. One that has sent no whole command by then is;
@@ -291,7 +292,7 @@
   void finish() {
     if (linger_.set() || ended_) return;
     stream_.end_sending();
-    linger_.in(kLinger);
+    linger_.in(clients_.drains_ ? clients_.longest_wait_ : kLinger);
   }
 
   Clients& clients_;
@@ -341,10 +342,12 @@
       socket_(bind_at(address)),
       most_(std::max<std::size_t>(descriptors, 1)),
       memory_(memory),
+      longest_wait_(kLinger),
       retry_(loop, [this] { accept_all(); }),
       sweep_(loop, [this] { end_idle(); }),
       draining_(loop, [this] { look_at_drain(); }) {
   if (!socket_) throw std::system_error(errno, std::generic_category(), "listening at " + text_of(address));
+  for (const Route& route : born.terms.routes) longest_wait_ = std::max(longest_wait_, route.client_timeout);
   sweep_.in(kSweep);
 }
 
@@ -442,8 +445,9 @@
   const bool coming = now - std::max(last_accept_, drain_began_) < kTakeOn;
   // The address is free for the next start, while what is held is finished.
   if (!coming) socket_ = Fd();
-  // One that never finishes its command does not hold the end up.
-  const bool late = now - drain_began_ > kTakeOn + 2 * kLinger;
+  // While a connection is open its client may still send on it. One that never finishes its command, nor ends
+  // its side, holds the end up for as long as a client waits.
+  const bool late = now - drain_began_ > kTakeOn + longest_wait_;
   if (coming || calls_ > 0 || (!conns_.empty() && !late)) return draining_.in(20ms);
   std::exchange(drained_, nullptr)();
 }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -52,6 +52,7 @@
   std::optional<Loop::Token> token_;  // once it is open
   std::size_t most_;                  // connections
   std::size_t memory_;                // bytes of both of the below
+  Span longest_wait_;                 // of any client for an answer
   std::size_t held_ = 0;              // bytes of calls, and of answers that wait for those before them
   std::size_t backlog_ = 0;           // bytes of answers not taken by the system
   std::size_t calls_ = 0;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -21,8 +21,9 @@
 // An agent on this machine answers at once or is silent. It answers what was asked meanwhile when it speaks
 // again; where one does not, the next go is no later than a drain's grace.
 constexpr Span kGo = 500ms, kLongestPause = 400ms;
-// A shared service works through a line, so an answer may take long, and asking again makes the line longer.
-constexpr Span kSharedGo = 2s, kLongestSharedPause = 2s;
+// A shared service works through a line and says so itself where it does not: who leaves the line too early
+// has made it longer for nothing.
+constexpr Span kSharedGo = 10s, kLongestSharedPause = 2s;
 // Later than any clock shows; what lies beyond is no time.
 constexpr double kLatestMs = 1e14;
 // Pauses double from the first. The first go at a shared service is spread over as much as makes hundreds of
--- a/test/gatekeeper_test.cpp
+++ b/test/gatekeeper_test.cpp
@@ -326,6 +326,7 @@
     out << std::hex << text.size() << "\r\n" << text << "\r\n";
     return out.str();
   }
+  bool runs() const { return kill(pid_, 0) == 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
   int exit_code() {
     for (int waited = 0; waited < kPatience; waited += 10) {
       int status = 0;
@@ -816,6 +817,21 @@
   REQUIRE(deployment.exit_code() == 0);
 }
 
+TEST_CASE("SIGTERM: the program stays while a connection is open, and breaks none that has more to say") {
+  Deployment deployment(1);
+  Line late = deployment.client();
+  deployment.terminate();
+  REQUIRE(late.ends());  // told to go elsewhere, but its own side is open
+  for (int i = 0; i < 15; ++i) {
+    late.say(lookup(std::to_string(i)));
+    std::this_thread::sleep_for(100ms);
+    REQUIRE(deployment.runs());
+  }
+  REQUIRE_FALSE(late.was_reset());
+  late.close();
+  REQUIRE(deployment.exit_code() == 0);
+}
+
 TEST_CASE("SIGHUP: list and counter move, a call out on the old counter gets its own answer") {
   Deployment deployment;
   Line client = deployment.client(), counter = deployment.counter.accept();
