--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -334,14 +334,16 @@
 }
 
 // A cold worker gets what a warm one gets from this gatekeeper, times the least share of its capacity that it
-// can have by now. All of them together stay under its capacity, and so under any stated multiple.
-void Choice::fill_cold(Worker& worker) const {
+// can have by now. All of them together stay under its capacity, and so under any stated multiple. Only those
+// whose rows hold it share in this: what hundreds of others save up as well would meet at one worker.
+void Choice::fill_cold(Worker& worker, bool in_row) const {
   const double warm = ramp(worker);
   if (warm >= 1) return;
   // A gatekeeper that has just started finds out about it too: all of them by four sends a second at most.
   const double warm_part = state.warm / std::max(1.0, static_cast<double>(state.ready.size()));
   const double met = std::max(1.0, static_cast<double>(row()) * warm_part);
-  const double rate = warm * std::max(4.0 / std::max(8, terms_.gatekeepers), state.send_rate / met);
+  const double least = 4.0 / std::max(8, terms_.gatekeepers);
+  const double rate = warm * std::max(least, in_row ? state.send_rate / met : 0);
   const double most = std::max(1.0, rate * seconds(terms_.promises.fall));
   worker.cold_budget = std::min(most, worker.cold_budget + rate * seconds(now_ - worker.cold_at));
   worker.cold_at = now_;
@@ -381,19 +383,20 @@
     const double far = terms_.cross_zone_price > 0 && worker.zone != terms_.zone ? 0.5 : 0;
     return (worker.out + 1 + far) * worker.pace / worker.share;
   };
-  const auto fits = [&](WorkerId id) {
+  const std::size_t start = many * static_cast<std::size_t>(terms_.me) / std::max(1, terms_.gatekeepers);
+  const auto fits = [&](std::size_t at) {
+    const WorkerId id = state.ready[(start + at) % many];
     if (many > 1 && !call.tries.empty() && call.tries.back().worker == id) return false;
-    fill_cold(state.workers.at(id));
+    fill_cold(state.workers.at(id), at < row());
     return may_take(call, id);
   };
-  const std::size_t start = many * static_cast<std::size_t>(terms_.me) / std::max(1, terms_.gatekeepers);
   // Where neither of two may take it, two others; the last two draws and bound calls go through all workers.
   for (int draw = 0; many > 0 && draw < 8; ++draw) {
     const std::size_t among = draw >= 6 || leave_for(call).bound_to ? many : row();
     const std::size_t at = state.chance() % among;
     const std::size_t next = (at + 1 + state.chance() % std::max<std::size_t>(1, among - 1)) % among;
     const WorkerId a = state.ready[(start + at) % many], b = state.ready[(start + next) % many];
-    const bool a_fits = fits(a), b_fits = fits(b);
+    const bool a_fits = fits(at), b_fits = fits(next);
     chosen = a_fits && (!b_fits || load(a) <= load(b)) ? a : b;
     if (a_fits || b_fits) return true;
   }
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -57,7 +57,7 @@
   Slice& slice_of(std::string_view customer, std::size_t plan, int spread);
   void refill(Slice& slice);
   void take_for_ends(const CountCall& call, std::string_view name, double total);
-  void fill_cold(Worker& worker) const;
+  void fill_cold(Worker& worker, bool in_row) const;
   void give_surplus(const std::string& customer, Slice& slice);
   void learn(Worker& worker, const ApiCall& call, Outcome outcome, Span took);
 
--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -354,12 +354,58 @@
     Worker& worker = bench.worker(1);
     worker.started = 1us;
     bench.choice.wakes(500ms);
-    bench.choice.fill_cold(worker);
+    bench.choice.fill_cold(worker, true);
     CHECK(worker.cold_budget * gatekeepers <= 4 * 0.5);
     CHECK(worker.cold_budget > 0);
   }
 }
 
+TEST_CASE("all gatekeepers together send a cold worker no more than its rule's count in any window") {
+  // Of 300, those whose rows hold it: sixteen of 200 workers each, forty sends a second to each warm worker.
+  Terms terms = some_terms();
+  terms.gatekeepers = 300;
+  const double window = 1, warm_takes = 20;
+  const int rows = 300 * 16 / 200;
+  for (const double age : {0.5, 1.0, 2.0, 5.0, 9.0}) {
+    double most = 0, allowed = 0;
+    for (int me = 0; me < 300; ++me) {
+      Bench bench(terms);
+      Worker& worker = bench.worker(1);
+      worker.started = worker.cold_at = 1us;
+      bench.choice.state.send_rate = 12 * warm_takes / rows;
+      bench.choice.state.ready.resize(200, 1);
+      bench.choice.state.warm = 200;
+      for (Span now = 0s; now <= std::chrono::duration<double>(age); now += 100ms)
+        bench.choice.wakes(now), bench.choice.fill_cold(worker, me < rows);
+      const double warm = 0.2 + 0.8 * age / 10;
+      // What it has saved up is spent, and what comes in meanwhile.
+      most += worker.cold_budget < 1 ? 0 : worker.cold_budget + warm * warm_takes / rows * window;
+      allowed = 4 * warm * warm_takes * window;
+    }
+    CHECK(most <= allowed + 3 * std::sqrt(allowed) + 3);
+  }
+}
+
+TEST_CASE("a cold worker outside the row is not saved up for at the row's rate") {
+  for (const bool in_row : {true, false}) {
+    Terms terms = some_terms();
+    terms.gatekeepers = 300;
+    Bench bench(terms);
+    const WorkerId cold = in_row ? 2 : 60;
+    for (WorkerId id = 1; id <= 60; ++id)
+      bench.worker(id).phase = id == cold ? Phase::ready : Phase::draining;
+    Worker& worker = bench.choice.state.workers[cold];
+    worker.started = worker.cold_at = 1us;
+    bench.choice.state.warm = 59;
+    for (CallId id = 1; id < 60; ++id) {
+      bench.choice.state.send_rate = 4;
+      bench.choice.state.send_at = Span(id * 100ms);
+      bench.choice.call_arrives(id * 100ms, id, "c", 0, 0, 1, 0, 3, 3s, false);
+    }
+    CHECK((bench.choice.state.workers[cold].out > 0) == in_row);
+  }
+}
+
 TEST_CASE("settled units correct the store, below nought if need be") {
   Terms terms = some_terms();
   terms.units_settle = true;
