--- /dev/null
+++ b/src/lab/emulation.cpp
@@ -0,0 +1,699 @@
+#include "emulation.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "events.hpp"
+#include "models.hpp"
+
+namespace ironquay::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::ordered_json;
+
+class ChoiceDecider : public Decider {
+ public:
+  ChoiceDecider(Terms terms, std::uint32_t seed, Span now, Effects& effects)
+      : choice_(std::move(terms), seed, now, effects) {}
+  void list_opens(Span now, ListKind kind) override { choice_.list_opens(now, kind); }
+  void list_names(Span now, WorkerId worker, Phase phase, std::int64_t cell, Span started) override {
+    choice_.list_names(now, worker, phase, "", cell, 1, started);
+  }
+  void list_closes(Span now) override { choice_.list_closes(now); }
+  void call_arrives(Span now, CallId call, const std::string& customer, std::size_t route, std::size_t plan,
+                    double units, int first, int spread, Span left, bool repeat) override {
+    choice_.call_arrives(now, call, customer, route, plan, units, first, spread, left, repeat);
+  }
+  void try_ends(Span now, CallId call, std::size_t at, WorkerId worker, Outcome outcome, Span took,
+                bool finished) override {
+    choice_.try_ends(now, call, at, worker, outcome, took, finished, 0);
+  }
+  void client_leaves(Span now, CallId call) override { choice_.client_leaves(now, call); }
+  void wakes(Span now) override { choice_.wakes(now); }
+  void peer_says(Span now, int peer, const std::string& bytes) override {
+    choice_.peer_says(now, peer, bytes);
+  }
+  void count_ends(Span now, const std::string& name, Outcome outcome, double total) override {
+    choice_.count_ends(now, name, outcome, total);
+  }
+
+ private:
+  Choice choice_;
+};
+
+enum class Answer { proxied, rate_limited, errored, gone };
+
+// One try of a client at a gatekeeper.
+struct Asked {
+  CallNumber number = 0;
+  int customer = 0;
+  std::size_t route = 0;
+  std::size_t plan = 0;
+  double units = 0;
+  Span left{0};
+  bool repeat = false;
+  std::function<void(Answer, Span come_back)> answer;
+};
+
+struct Customer {
+  std::string name;
+  std::size_t plan = 0;
+  int first = 0;
+  int spread = 1;
+  double per_second = 0;  // API calls, without bursts
+  int busiest = 0;        // of its gatekeepers, for now
+  double asked_left = 0;  // of the quota, if one gatekeeper saw all first tries
+  double sent_left = 0;   // of the quota, by what was sent on
+  Span asked_at{0};
+  Span sent_at{0};
+  double sent = 0;
+};
+
+class World;
+
+// One gatekeeper: what its decisions want is done in the world, what happens there is told to them.
+class Host : public Effects {
+ public:
+  Host(World& world, int me) : world_(world), me_(me) {}
+  void boot();
+  void die();
+  bool alive() const { return decider_ != nullptr; }
+  void call(Asked asked);
+  // False where it holds no such call.
+  bool leaves(CallNumber call);
+  void list_changes(int worker, Phase phase, Span started);
+  void hears(int peer, const std::string& bytes);
+
+  void send(CallId call, WorkerId worker, Span limit) override;
+  void rate_limit(CallId call, Span come_back) override { answer(call, Answer::rate_limited, come_back); }
+  void error(CallId call) override { answer(call, Answer::errored, Span(0)); }
+  void cancel(CallId call, std::size_t upstream_try) override;
+  void wake_at(Span when) override;
+  void probe(WorkerId) override {}
+  void close_idle(WorkerId) override {}
+  void tell(int peer, std::string_view bytes) override;
+  void tell_all(std::string_view bytes) override;
+  void subscribe(bool) override {}
+  void fetch_list() override {}
+  void count(std::string_view name, double amount, Span lives) override;
+  void note(std::string_view) override {}
+
+ private:
+  struct Try {
+    WorkerId worker = 0;
+    Span sent{0};
+    bool out = true;
+    std::shared_ptr<Workers::Job> job;
+  };
+  struct Entry {
+    Phase phase = Phase::ready;
+    Span started{0};
+  };
+  void answer(CallId call, Answer how, Span come_back);
+  void ends(CallId call, std::size_t at, Outcome outcome);
+  // Later in simulated time, unless this process is gone by then.
+  template <typename What>
+  auto while_alive(What what) {
+    return [this, life = life_, what = std::move(what)](auto... with) {
+      if (life == life_ && decider_) what(with...);
+    };
+  }
+
+  World& world_;
+  int me_;
+  std::uint64_t life_ = 0;
+  std::unique_ptr<Decider> decider_;
+  std::map<CallId, Asked> held_;
+  std::map<CallId, std::vector<Try>> tries_;
+  std::map<int, Entry> list_;  // as it had it last; outlives the process
+  Span wakes_{0};
+  double intake_ = 0;
+  Span intake_at_{0};
+};
+
+struct Sums {
+  std::uint64_t asked = 0, in_time = 0, late = 0, rate_limited = 0, errored = 0, lost = 0;
+  double value_inside = 0, value_served = 0;
+  Json json() const {
+    return {{"asked", asked},
+            {"in_time", in_time},
+            {"late", late},
+            {"rate_limited", rate_limited},
+            {"errored", errored},
+            {"lost", lost},
+            {"served_inside", value_inside > 0 ? value_served / value_inside : 1.0}};
+  }
+};
+
+class World {
+ public:
+  World(const Scenario& scenario, std::uint32_t seed, const MakeDecider& make);
+  Json run();
+
+  const Scenario& scenario;
+  const MakeDecider& make;
+  Events events;
+  Rules rules;
+  Workers workers;
+  Counter counter;
+  Stream peers;
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::uint32_t new_seed() { return static_cast<std::uint32_t>(restarts_.below(1u << 31)); }
+  const std::string& name_of(int customer) const {
+    return customers_[static_cast<std::size_t>(customer)].name;
+  }
+  int first_of(int customer) const { return customers_[static_cast<std::size_t>(customer)].first; }
+  int spread_of(int customer) const { return customers_[static_cast<std::size_t>(customer)].spread; }
+  double size_of(double units) const { return units / ((1 + scenario.terms.most_units) / 2); }
+  void sent_on(int customer, double units);
+  void list_tells(int worker, Phase phase);
+  std::uint64_t tries = 0;
+  std::uint64_t messages = 0;
+
+ private:
+  struct Client {
+    int customer = 0;
+    std::size_t route = 0;
+    double units = 0;
+    Span began{0};
+    int retries = 0;
+    bool inside = false;
+  };
+  struct Second {
+    std::uint64_t asked = 0, in_time = 0;
+    double units_sent = 0;
+  };
+  void found_customers();
+  void arrivals(int customer);
+  void ask(const Client& client);
+  void answered(Client client, CallNumber number, Answer how, Span come_back);
+  void over(const Client& client, Answer how, bool lost);
+  void shift();
+  void start(const Fault& fault);
+  void replace(const std::vector<int>& which, Span length);
+  std::vector<int> some(std::size_t many, double part);
+  double bursting(std::size_t plan) const;
+  Second& second() { return seconds_[static_cast<std::size_t>(events.now() / 1s)]; }
+
+  Stream arrivals_, choices_, faults_, restarts_, list_;
+  std::vector<Customer> customers_;
+  std::vector<double> burst_most_;
+  std::vector<Sums> by_plan_, by_route_;
+  std::vector<Second> seconds_;
+  std::vector<double> latencies_;
+  std::vector<Span> told_until_;
+  Span list_silent_until_{0};
+  CallNumber last_ = 0;
+  double units_sent_ = 0, units_beyond_ = 0;
+};
+
+// ---- A gatekeeper
+
+void Host::boot() {
+  Terms terms = world_.scenario.terms;
+  terms.me = me_;
+  ++life_;
+  const Span now = world_.events.now();
+  wakes_ = Span(0);
+  decider_ = world_.make(std::move(terms), world_.new_seed(), now, *this);
+  if (list_.empty())
+    for (int worker = 0; worker < world_.scenario.workers; ++worker) list_[worker] = Entry();
+  decider_->list_opens(now, ListKind::cached);
+  for (const auto& [worker, entry] : list_) {
+    world_.rules.told(now, me_, worker, entry.phase);
+    decider_->list_names(now, static_cast<WorkerId>(worker + 1), entry.phase, world_.workers.cell(worker),
+                         entry.started);
+  }
+  decider_->list_closes(now);
+}
+
+void Host::die() {
+  ++life_;
+  decider_.reset();
+  world_.rules.forgets(me_);
+  auto held = std::exchange(held_, {});
+  for (auto& [call, one] : std::exchange(tries_, {}))
+    for (Try& each : one) each.job->dropped = true;
+  for (auto& [call, asked] : held) {
+    world_.rules.released(call);
+    world_.events.in(world_.scenario.net, [answer = asked.answer] { answer(Answer::gone, Span(0)); });
+  }
+}
+
+void Host::call(Asked asked) {
+  const Span now = world_.events.now();
+  world_.rules.taken(now, asked.number, asked.route, asked.plan, asked.customer, asked.units, asked.left);
+  const Asked& held = held_[asked.number] = std::move(asked);
+  decider_->call_arrives(now, held.number, world_.name_of(held.customer), held.route, held.plan, held.units,
+                         world_.first_of(held.customer), world_.spread_of(held.customer), held.left,
+                         held.repeat);
+}
+
+bool Host::leaves(CallNumber call) {
+  if (!decider_ || !held_.erase(call)) return false;
+  world_.rules.released(call);
+  decider_->client_leaves(world_.events.now(), call);
+  return true;
+}
+
+void Host::list_changes(int worker, Phase phase, Span started) {
+  const Span now = world_.events.now();
+  if (phase == Phase::gone) {
+    list_.erase(worker);
+  } else {
+    list_[worker] = {phase, started};
+  }
+  if (!decider_) return;
+  world_.rules.told(now, me_, worker, phase);
+  decider_->list_opens(now, ListKind::changes);
+  decider_->list_names(now, static_cast<WorkerId>(worker + 1), phase, world_.workers.cell(worker), started);
+  decider_->list_closes(now);
+}
+
+void Host::hears(int peer, const std::string& bytes) {
+  const double most = world_.scenario.terms.permits.peer_intake;
+  intake_ = std::min(most, intake_ + most * seconds(world_.events.now() - intake_at_));
+  intake_at_ = world_.events.now();
+  if (!decider_ || intake_ < 1) return;
+  intake_ -= 1;
+  decider_->peer_says(world_.events.now(), peer, bytes);
+}
+
+void Host::send(CallId call, WorkerId worker, Span limit) {
+  const Span now = world_.events.now();
+  const int at = static_cast<int>(worker) - 1;
+  const auto held = held_.find(call);
+  auto& tries = tries_[call];
+  world_.rules.sent(now, call, me_, at, world_.workers.cell(at));
+  ++world_.tries;
+  if (held != held_.end() && tries.empty()) world_.sent_on(held->second.customer, held->second.units);
+  const std::size_t number = tries.size();
+  const std::size_t route = held == held_.end() ? 0 : held->second.route;
+  const double size = held == held_.end() ? 1 : world_.size_of(held->second.units);
+  auto job = world_.workers.send(at, route, size,
+                                 while_alive([=, this](Outcome outcome) { ends(call, number, outcome); }));
+  tries.push_back({worker, now, true, std::move(job)});
+  world_.events.in(limit, while_alive([=, this] { ends(call, number, Outcome::timed_out); }));
+}
+
+void Host::ends(CallId call, std::size_t at, Outcome outcome) {
+  const auto found = tries_.find(call);
+  if (found == tries_.end() || !found->second[at].out) return;
+  Try& one = found->second[at];
+  one.out = false;
+  if (outcome == Outcome::timed_out) one.job->dropped = true;
+  const bool never = outcome == Outcome::no_room || outcome == Outcome::no_route;
+  world_.rules.try_over(call, at, !never);
+  if (outcome == Outcome::passed) answer(call, Answer::proxied, Span(0));
+  const Span now = world_.events.now(), took = now - one.sent;
+  const WorkerId worker = one.worker;
+  const bool finished = !held_.contains(call);
+  const bool all_over =
+      std::none_of(found->second.begin(), found->second.end(), [](auto& each) { return each.out; });
+  if (finished && all_over) tries_.erase(found);
+  decider_->try_ends(now, call, at, worker, outcome, took, finished);
+}
+
+void Host::cancel(CallId call, std::size_t at) {
+  const auto found = tries_.find(call);
+  if (found == tries_.end() || at >= found->second.size() || !found->second[at].out) return;
+  found->second[at].job->dropped = true;
+  world_.rules.try_over(call, at, true);
+  world_.events.in(Span(0), while_alive([=, this] { ends(call, at, Outcome::cancelled); }));
+}
+
+void Host::answer(CallId call, Answer how, Span come_back) {
+  const Span now = world_.events.now();
+  world_.rules.answered(now, call, how == Answer::rate_limited);
+  const auto found = held_.find(call);
+  if (found == held_.end()) return;
+  world_.events.in(world_.scenario.net,
+                   [answer = std::move(found->second.answer), how, come_back] { answer(how, come_back); });
+  held_.erase(found);
+  const auto tries = tries_.find(call);
+  if (tries != tries_.end() &&
+      std::none_of(tries->second.begin(), tries->second.end(), [](auto& one) { return one.out; }) &&
+      how != Answer::proxied)
+    tries_.erase(tries);
+}
+
+void Host::wake_at(Span when) {
+  wakes_ = when;
+  world_.events.at(when, while_alive([=, this] {
+                     if (wakes_ == when) decider_->wakes(world_.events.now());
+                   }));
+}
+
+void Host::tell(int peer, std::string_view bytes) {
+  ++world_.messages;
+  if (peer < 0 || peer >= static_cast<int>(world_.hosts.size()) ||
+      world_.peers.chance(world_.scenario.peer_loss))
+    return;
+  world_.events.in(world_.peers.spread(world_.scenario.peer_late), [this, peer, text = std::string(bytes)] {
+    world_.hosts[static_cast<std::size_t>(peer)]->hears(me_, text);
+  });
+}
+
+void Host::tell_all(std::string_view bytes) {
+  for (int peer = 0; peer < static_cast<int>(world_.hosts.size()); ++peer)
+    if (peer != me_) tell(peer, bytes);
+}
+
+void Host::count(std::string_view name, double amount, Span lives) {
+  world_.counter.add(me_, std::string(name), amount, lives,
+                     while_alive([this, name = std::string(name)](Outcome outcome, double total) {
+                       decider_->count_ends(world_.events.now(), name, outcome, total);
+                     }));
+}
+
+// ---- The world
+
+World::World(const Scenario& what, std::uint32_t seed, const MakeDecider& how)
+    : scenario(what),
+      make(how),
+      rules(what),
+      workers(events, what, seed, rules),
+      counter(events, what),
+      peers(seed, "peers"),
+      arrivals_(seed, "arrivals"),
+      choices_(seed, "choices"),
+      faults_(seed, "faults"),
+      restarts_(seed, "restarts"),
+      list_(seed, "list"),
+      by_plan_(what.plans.size()),
+      by_route_(what.routes.size()),
+      // What began at the end runs on for as long as its client waits.
+      seconds_(static_cast<std::size_t>(what.length / 1s) + 120) {
+  for (int me = 0; me < what.terms.gatekeepers; ++me) hosts.push_back(std::make_unique<Host>(*this, me));
+  told_until_.resize(hosts.size());
+  found_customers();
+}
+
+void World::found_customers() {
+  const int many = scenario.terms.gatekeepers;
+  burst_most_.assign(scenario.plans.size(), 1);
+  for (const Fault& fault : scenario.faults)
+    if (fault.kind == FaultKind::burst)
+      burst_most_[fault.plan] = std::max(burst_most_[fault.plan], fault.factor);
+  for (std::size_t plan = 0; plan < scenario.plans.size(); ++plan) {
+    const PlanOf& of = scenario.plans[plan];
+    const Plan& quota = scenario.terms.plans[plan];
+    for (int i = 0; i < of.customers; ++i) {
+      Customer customer;
+      char name[24];
+      std::snprintf(name, sizeof name, "%016llx",
+                    static_cast<unsigned long long>(customers_.size()) * 2654435761u % (1ull << 33));
+      customer.name = name;
+      customer.plan = plan;
+      customer.spread = std::clamp(static_cast<int>(std::lround(scenario.spread * many)), 1, many);
+      customer.first = static_cast<int>(choices_.below(static_cast<std::size_t>(many)));
+      const double use = choices_.chance(of.heavy) ? of.heavy_use : of.use;
+      customer.per_second = quota.rate * use / ((1 + scenario.terms.most_units) / 2);
+      customer.asked_left = customer.sent_left = quota.burst;
+      customers_.push_back(std::move(customer));
+    }
+  }
+}
+
+double World::bursting(std::size_t plan) const {
+  double most = 1;
+  for (const Fault& fault : scenario.faults)
+    if (fault.kind == FaultKind::burst && fault.plan == plan && events.now() >= fault.at &&
+        events.now() < fault.at + fault.length)
+      most = std::max(most, fault.factor);
+  return most;
+}
+
+// Open arrivals: at the rate of the worst burst, thinned to the present one.
+void World::arrivals(int at) {
+  Customer& customer = customers_[static_cast<std::size_t>(at)];
+  if (customer.per_second <= 0) return;
+  const double most = burst_most_[customer.plan];
+  events.in(spanning(arrivals_.exponential(1 / (customer.per_second * most))), [this, at, most] {
+    if (events.now() > scenario.length) return;
+    Customer& one = customers_[static_cast<std::size_t>(at)];
+    double route_at = 0;
+    for (const RouteOf& route : scenario.routes) route_at += route.part;
+    route_at *= arrivals_.uniform();
+    Client client;
+    client.customer = at;
+    while (client.route + 1 < scenario.routes.size() && route_at >= scenario.routes[client.route].part)
+      route_at -= scenario.routes[client.route++].part;
+    client.units =
+        1 + static_cast<double>(arrivals_.below(static_cast<std::size_t>(scenario.terms.most_units)));
+    client.began = events.now();
+    client.retries = scenario.retries;
+    if (arrivals_.chance(bursting(one.plan) / most)) {
+      const Plan& quota = scenario.terms.plans[one.plan];
+      one.asked_left =
+          std::min(quota.burst, one.asked_left + quota.rate * seconds(events.now() - one.asked_at));
+      one.asked_at = events.now();
+      client.inside = one.asked_left >= client.units;
+      if (client.inside) one.asked_left -= client.units;
+      ++second().asked;
+      const double value = scenario.terms.routes[client.route].billed_value * client.units;
+      for (Sums* sums : {&by_plan_[one.plan], &by_route_[client.route]})
+        ++sums->asked, sums->value_inside += client.inside ? value : 0;
+      ask(client);
+    }
+    arrivals(at);
+  });
+}
+
+void World::ask(const Client& client) {
+  const Customer& customer = customers_[static_cast<std::size_t>(client.customer)];
+  const Route& route = scenario.terms.routes[client.route];
+  const Span left = client.began + route.client_timeout - events.now();
+  const double uneven = std::pow(choices_.uniform(), 1 + 2 * scenario.skew);
+  const int step = static_cast<int>(uneven * customer.spread);
+  Host* host = nullptr;
+  // A front that finds a gatekeeper dead takes the next of the customer's.
+  for (int i = 0; i < customer.spread && !host; ++i) {
+    const int of = (customer.busiest + step + i) % customer.spread;
+    Host& one = *hosts[static_cast<std::size_t>((customer.first + of) % scenario.terms.gatekeepers)];
+    if (one.alive()) host = &one;
+  }
+  const CallNumber number = ++last_;
+  if (!host || left <= 2 * scenario.net) return over(client, Answer::errored, !host);
+  events.in(scenario.net, [this, client, number, host, left] {
+    if (!host->alive()) return answered(client, number, Answer::gone, Span(0));
+    Asked asked;
+    asked.number = number;
+    asked.customer = client.customer;
+    asked.route = client.route;
+    asked.plan = customers_[static_cast<std::size_t>(client.customer)].plan;
+    asked.units = client.units;
+    asked.left = left - scenario.net;
+    asked.repeat = client.retries < scenario.retries;
+    asked.answer = [this, client, number](Answer how, Span come_back) {
+      answered(client, number, how, come_back);
+    };
+    if (choices_.chance(scenario.impatient))
+      events.in(spanning(seconds(left) * choices_.uniform()), [this, client, number, host] {
+        if (host->leaves(number)) over(client, Answer::errored, false);
+      });
+    host->call(std::move(asked));
+  });
+}
+
+void World::answered(Client client, CallNumber, Answer how, Span come_back) {
+  const Route& route = scenario.terms.routes[client.route];
+  const bool again = how == Answer::rate_limited || how == Answer::gone ||
+                     (how == Answer::errored && route.repeat == Repeat::idempotent);
+  if (how == Answer::proxied || !again || client.retries == 0) return over(client, how, false);
+  --client.retries;
+  const bool honours = come_back > Span(0) && choices_.chance(scenario.honours);
+  events.in(honours ? come_back : choices_.spread(scenario.backoff), [this, client] { ask(client); });
+}
+
+void World::over(const Client& client, Answer how, bool lost) {
+  const Span took = events.now() - client.began;
+  const Route& route = scenario.terms.routes[client.route];
+  const bool in_time = how == Answer::proxied && took <= route.latency_target;
+  const double value = client.inside && in_time ? route.billed_value * client.units : 0;
+  if (how == Answer::proxied) latencies_.push_back(seconds(took));
+  if (in_time) ++second().in_time;
+  for (Sums* sums :
+       {&by_plan_[customers_[static_cast<std::size_t>(client.customer)].plan], &by_route_[client.route]}) {
+    sums->value_served += value;
+    if (lost)
+      ++sums->lost;
+    else if (how == Answer::proxied)
+      ++(in_time ? sums->in_time : sums->late);
+    else
+      ++(how == Answer::rate_limited ? sums->rate_limited : sums->errored);
+  }
+}
+
+void World::sent_on(int at, double units) {
+  Customer& customer = customers_[static_cast<std::size_t>(at)];
+  const Plan& quota = scenario.terms.plans[customer.plan];
+  customer.sent_left =
+      std::min(quota.burst, customer.sent_left + quota.rate * seconds(events.now() - customer.sent_at));
+  customer.sent_at = events.now();
+  customer.sent += units;
+  units_sent_ += units;
+  second().units_sent += units;
+  if (customer.sent_left >= units) {
+    customer.sent_left -= units;
+  } else {
+    units_beyond_ += units;
+  }
+}
+
+void World::shift() {
+  for (Customer& customer : customers_)
+    customer.busiest = static_cast<int>(choices_.below(static_cast<std::size_t>(customer.spread)));
+  if (events.now() < scenario.length) events.in(scenario.shift, [this] { shift(); });
+}
+
+// Each gatekeeper hears late, and of each change in its turn.
+void World::list_tells(int worker, Phase phase) {
+  const Span started = workers.started(worker);
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    const Span when = std::max(events.now(), list_silent_until_) + list_.spread(scenario.list_late);
+    told_until_[i] = std::max(told_until_[i], when);
+    events.at(told_until_[i], [=, this] { hosts[i]->list_changes(worker, phase, started); });
+  }
+}
+
+std::vector<int> World::some(std::size_t many, double part) {
+  std::vector<int> all(many);
+  for (std::size_t i = 0; i < many; ++i) all[i] = static_cast<int>(i);
+  for (std::size_t i = 0; i + 1 < many; ++i) std::swap(all[i], all[i + faults_.below(many - i)]);
+  all.resize(static_cast<std::size_t>(std::lround(part * static_cast<double>(many))));
+  std::sort(all.begin(), all.end());
+  return all;
+}
+
+// One after the other: a new one starts, the old one drains, and goes when it may hold nothing any more.
+void World::replace(const std::vector<int>& which, Span length) {
+  for (std::size_t i = 0; i < which.size(); ++i) {
+    const int old = which[i];
+    events.in(length * static_cast<Span::rep>(i) / static_cast<Span::rep>(which.size()), [this, old] {
+      list_tells(workers.start_another(), Phase::ready);
+      workers.drain(old);
+      list_tells(old, Phase::draining);
+      events.in(5s, [this, old] {
+        workers.remove(old);
+        list_tells(old, Phase::gone);
+      });
+    });
+  }
+}
+
+void World::start(const Fault& fault) {
+  const auto which = [&](std::size_t many) {
+    return fault.workers.empty() ? some(many, fault.part) : fault.workers;
+  };
+  switch (fault.kind) {
+    case FaultKind::worker_slow:
+    case FaultKind::worker_hang:
+    case FaultKind::worker_crash:
+    case FaultKind::worker_vanish:
+    case FaultKind::worker_error:
+      return workers.fault(fault, which(static_cast<std::size_t>(scenario.workers)));
+    case FaultKind::replace:
+      return replace(which(static_cast<std::size_t>(scenario.workers)), fault.length);
+    case FaultKind::list_silent:
+      list_silent_until_ = std::max(list_silent_until_, events.now() + fault.length);
+      return;
+    case FaultKind::counter_refuse:
+    case FaultKind::counter_silent:
+    case FaultKind::counter_slow:
+    case FaultKind::counter_split:
+      return counter.fault(fault);
+    case FaultKind::restart:
+      for (const int at : some(hosts.size(), fault.part)) {
+        Host& host = *hosts[static_cast<std::size_t>(at)];
+        host.die();
+        events.in(fault.length, [&host] { host.boot(); });
+      }
+      return;
+    case FaultKind::burst:
+      return;  // the arrivals look it up
+  }
+}
+
+Json World::run() {
+  for (auto& host : hosts) host->boot();
+  for (std::size_t i = 0; i < customers_.size(); ++i) arrivals(static_cast<int>(i));
+  shift();
+  for (const Fault& fault : scenario.faults) events.at(fault.at, [this, &fault] { start(fault); });
+  Span longest(0);
+  for (const Route& route : scenario.terms.routes) longest = std::max(longest, route.client_timeout);
+  const Span end = scenario.length + longest + 1s;
+  while (events.now() < end && !rules.broken()) {
+    events.run_until(std::min(end, events.now() + 10ms));
+    rules.look(events.now());
+  }
+  std::uint64_t asked = 0, in_time = 0;
+  double inside = 0, served = 0;
+  Json plans = Json::object(), routes = Json::object(), per_second = Json::array();
+  for (std::size_t i = 0; i < by_plan_.size(); ++i) {
+    plans[scenario.plans[i].name] = by_plan_[i].json();
+    asked += by_plan_[i].asked, in_time += by_plan_[i].in_time;
+    inside += by_plan_[i].value_inside, served += by_plan_[i].value_served;
+  }
+  for (std::size_t i = 0; i < by_route_.size(); ++i) routes[scenario.routes[i].name] = by_route_[i].json();
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(scenario.length / 1s); ++i)
+    per_second.push_back({seconds_[i].asked, seconds_[i].in_time, seconds_[i].units_sent});
+  std::sort(latencies_.begin(), latencies_.end());
+  const auto quantile = [&](double part) {
+    if (latencies_.empty()) return 0.0;
+    return latencies_[std::min(latencies_.size() - 1,
+                               static_cast<std::size_t>(part * static_cast<double>(latencies_.size())))] *
+           1000;
+  };
+  double worst_over = 0;
+  for (const Customer& customer : customers_) {
+    const Plan& quota = scenario.terms.plans[customer.plan];
+    worst_over = std::max(worst_over, customer.sent / (quota.burst + quota.rate * seconds(scenario.length)));
+  }
+  const double calls = std::max<double>(1, static_cast<double>(asked));
+  const auto& broken = rules.broken();
+  return {{"scenario", scenario.name},
+          {"gatekeepers", scenario.terms.gatekeepers},
+          {"workers", scenario.workers},
+          {"length_s", seconds(scenario.length)},
+          {"asked", asked},
+          {"in_time", in_time},
+          {"served_inside", inside > 0 ? served / inside : 1.0},
+          {"beyond_quota", units_sent_ > 0 ? units_beyond_ / units_sent_ : 0.0},
+          {"worst_customer_of_quota", worst_over},
+          {"counter_calls", static_cast<double>(counter.calls()) / calls},
+          {"messages", static_cast<double>(messages) / calls},
+          {"tries", static_cast<double>(tries) / calls},
+          {"useless_work",
+           workers.useless_work() / std::max(1e-9, workers.useless_work() + workers.served_work())},
+          {"hottest_cold", rules.hottest()},
+          {"latency_ms",
+           {{"p50", quantile(.5)}, {"p90", quantile(.9)}, {"p99", quantile(.99)}, {"p99.9", quantile(.999)}}},
+          {"plans", plans},
+          {"routes", routes},
+          {"per_second", per_second},
+          {"broken", broken ? Json{{"rule", broken->rule},
+                                   {"at_s", seconds(broken->when)},
+                                   {"call", broken->call},
+                                   {"worker", broken->worker}}
+                            : Json()}};
+}
+
+}  // namespace
+
+std::unique_ptr<Decider> make_choice(Terms terms, std::uint32_t seed, Span now, Effects& effects) {
+  return std::make_unique<ChoiceDecider>(std::move(terms), seed, now, effects);
+}
+
+nlohmann::ordered_json emulate(const Scenario& scenario, std::uint32_t seed, const MakeDecider& make) {
+  World world(scenario, seed, make);
+  Json figures = world.run();
+  figures["seed"] = seed;
+  return figures;
+}
+
+}  // namespace ironquay::lab
--- /dev/null
+++ b/src/lab/rules.hpp
@@ -0,0 +1,82 @@
+// The operators' five rules, checked from what happens outside the gatekeepers.
+#pragma once
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "scenario.hpp"
+#include "state.hpp"
+
+namespace ironquay::lab {
+
+// A call's number over all gatekeepers; each try of a client has a new one.
+using CallNumber = std::uint64_t;
+
+struct Broken {
+  Span when{0};
+  std::string rule;
+  CallNumber call = 0;
+  int worker = -1;
+};
+
+class Rules {
+ public:
+  explicit Rules(const Scenario& scenario) : scenario_(scenario) {}
+
+  void taken(Span now, CallNumber call, std::size_t route, std::size_t plan, int customer, double units,
+             Span client_timeout);
+  void answered(Span now, CallNumber call, bool rate_limited);
+  // The gatekeeper died, or the client left: nothing is owed any more.
+  void released(CallNumber call);
+  void sent(Span now, CallNumber call, int gatekeeper, int worker, int cell);
+  void try_over(CallNumber call, std::size_t upstream_try, bool may_have_run);
+  void told(Span now, int gatekeeper, int worker, Phase phase);
+  void forgets(int gatekeeper);  // it starts anew
+  void worker_started(Span now, int worker);
+  // Reached the worker: a cold one bears only so much.
+  void arrived(Span now, int worker);
+  // What is overdue by now.
+  void look(Span now);
+
+  const std::optional<Broken>& broken() const { return broken_; }
+  // The most that any cold worker was sent in a window, over what its rule allows.
+  double hottest() const { return hottest_; }
+
+ private:
+  struct Try {
+    Span sent{0};
+    int cell = 0;
+    bool out = true;
+    bool may_have_run = true;
+  };
+  struct Held {
+    std::size_t route = 0;
+    std::size_t plan = 0;
+    int customer = 0;
+    double units = 0;
+    Span due{0};
+    std::vector<Try> tries;
+    bool owed = true;
+  };
+  struct Cold {
+    Span started{0};
+    std::deque<Span> came;
+  };
+  struct Ceiling {
+    double stored = 0;
+    Span filled{0};
+  };
+  void breaks(Span now, const std::string& rule, CallNumber call, int worker = -1);
+
+  const Scenario& scenario_;
+  std::map<CallNumber, Held> held_;
+  std::map<std::pair<int, int>, Span> barred_;  // gatekeeper and worker: told that it drains or is gone
+  std::map<int, Cold> cold_;
+  std::map<int, Ceiling> ceilings_;
+  std::optional<Broken> broken_;
+  double hottest_ = 0;
+};
+
+}  // namespace ironquay::lab
