--- a/src/lab/rules.hpp
+++ b/src/lab/rules.hpp
@@ -72,6 +72,7 @@
 
   const Scenario& scenario_;
   std::map<CallNumber, Held> held_;
+  std::multimap<Span, CallNumber> dues_;
   std::map<std::pair<int, int>, Span> barred_;  // gatekeeper and worker: told that it drains or is gone
   std::map<int, Cold> cold_;
   std::map<int, Ceiling> ceilings_;
