--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -71,6 +71,7 @@
   Span asked_at{0};
   Span sent_at{0};
   double sent = 0;
+  double asked = 0;  // units of first tries
 };
 
 class World;
@@ -449,6 +450,7 @@
     client.retries = scenario.retries;
     if (arrivals_.chance(bursting(one.plan) / most)) {
       const Plan& quota = scenario.terms.plans[one.plan];
+      one.asked += client.units;
       one.asked_left =
           std::min(quota.burst, one.asked_left + quota.rate * seconds(events.now() - one.asked_at));
       one.asked_at = events.now();
@@ -650,10 +652,14 @@
            1000;
   };
   double worst_over = 0;
+  std::vector<double> heavy;  // of those that ask more than their quota, what they got of it
   for (const Customer& customer : customers_) {
     const Plan& quota = scenario.terms.plans[customer.plan];
-    worst_over = std::max(worst_over, customer.sent / (quota.burst + quota.rate * seconds(scenario.length)));
+    const double allowed = quota.burst + quota.rate * seconds(scenario.length);
+    worst_over = std::max(worst_over, customer.sent / allowed);
+    if (customer.asked > allowed) heavy.push_back(customer.sent / allowed);
   }
+  std::sort(heavy.begin(), heavy.end());
   const double calls = std::max<double>(1, static_cast<double>(asked));
   const auto& broken = rules.broken();
   return {{"scenario", scenario.name},
@@ -665,6 +671,7 @@
           {"served_inside", inside > 0 ? served / inside : 1.0},
           {"beyond_quota", units_sent_ > 0 ? units_beyond_ / units_sent_ : 0.0},
           {"worst_customer_of_quota", worst_over},
+          {"heavy_customer_of_quota", heavy.empty() ? 0.0 : heavy[heavy.size() / 2]},
           {"counter_calls", static_cast<double>(counter.calls()) / calls},
           {"messages", static_cast<double>(messages) / calls},
           {"tries", static_cast<double>(tries) / calls},
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -289,4 +289,11 @@
   return scenario;
 }
 
+void scale(Scenario& scenario, int times) {
+  scenario.terms.gatekeepers *= times;
+  scenario.workers *= times;
+  scenario.counter_rate *= times;
+  for (PlanOf& plan : scenario.plans) plan.customers *= times;
+}
+
 }  // namespace ironquay::lab
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -85,5 +85,7 @@
 };
 
 Scenario read_scenario(std::string_view text, const std::string& file);
+// Gatekeepers, workers, customers and the counter's rate, so many times over.
+void scale(Scenario& scenario, int times);
 
 }  // namespace ironquay::lab
--- a/test/lab_test.cpp
+++ b/test/lab_test.cpp
@@ -6,10 +6,12 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "lab/emulation.hpp"
 #include "lab/events.hpp"
 #include "lab/models.hpp"
+#include "lab/report.hpp"
 
 namespace ironquay::lab {
 namespace {
@@ -210,13 +212,39 @@
         "x.toml:3: unknown key plan[0].x\nx.toml:4: unknown key plan[0].y\nx.toml:1:  there is no [[route]]");
 }
 
+TEST_CASE("a report says what differs, and that nothing does where nothing does") {
+  const Interval one = interval_of({1, 2, 3, 4});
+  CHECK(one.mean == Approx(2.5));
+  CHECK(one.high - one.mean == Approx(3.182 * std::sqrt(5.0 / 3) / 2).epsilon(0.001));  // t, 3 degrees
+  const Scenario scenario = scenario_of("");
+  std::ofstream file("lab-test-runs.jsonl");
+  for (std::uint32_t seed = 1; seed <= 4; ++seed)
+    for (const char* variant : {"pool", "slices alone"}) {
+      auto figures = emulate(scenario, seed);
+      figures["variant"] = variant;
+      if (std::string(variant) != "pool") figures["tries"] = figures["tries"].get<double>() + 0.5;
+      file << figures.dump() << "\n";
+    }
+  file.close();
+  std::ostringstream out;
+  CHECK(report_on({"lab-test-runs.jsonl"}, "", out) == 0);
+  CHECK(out.str().find("tries 0.500 (0.500 to 0.500)") != std::string::npos);
+  CHECK(out.str().find("served_inside no difference seen (0.000 to 0.000)") != std::string::npos);
+  CHECK_THROWS_WITH(report_on({"lab-test-runs.jsonl", "lab-test-runs.jsonl"}, "", out),
+                    Catch::Contains("lab-test-runs.jsonl:1: no run: seed 1 stands there twice"));
+  std::ofstream("lab-test-runs.jsonl") << "{\"scenario\": 3}\n";
+  CHECK_THROWS_WITH(report_on({"lab-test-runs.jsonl"}, "", out),
+                    Catch::Contains("lab-test-runs.jsonl:1: no run"));
+  std::remove("lab-test-runs.jsonl");
+}
+
 int exit_code(const std::string& arguments) {
   const int status = std::system((std::string(IRONQUAY_LAB) + " " + arguments + " >/dev/null 2>&1").c_str());
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
 TEST_CASE("the program's exit codes: 0 for a run, 2 for wrong usage or a wrong file") {
-  const std::string good = std::string(IRONQUAY_ROOT) + "/lab/six-in-ten-replaced.toml";
+  const std::string good = std::string(IRONQUAY_ROOT) + "/lab/plain.toml";
   CHECK(exit_code("emulate " + good + " --seed 2 --seeds 2") == 0);
   CHECK(exit_code("--help") == 0);
   CHECK(exit_code("") == 2);
