--- a/test/lab_test.cpp
+++ b/test/lab_test.cpp
@@ -1,5 +1,6 @@
 // The laboratory: its models against closed forms, its rules against wrong doubles, its files.
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <cmath>
@@ -217,7 +218,8 @@
   CHECK(one.mean == Approx(2.5));
   CHECK(one.high - one.mean == Approx(3.182 * std::sqrt(5.0 / 3) / 2).epsilon(0.001));  // t, 3 degrees
   const Scenario scenario = scenario_of("");
-  std::ofstream file("lab-test-runs.jsonl");
+  const std::string runs = "/tmp/ironquay-lab-runs-" + std::to_string(getpid()) + ".jsonl";
+  std::ofstream file(runs);
   for (std::uint32_t seed = 1; seed <= 4; ++seed)
     for (const char* variant : {"pool", "slices alone"}) {
       auto figures = emulate(scenario, seed);
@@ -227,15 +229,14 @@
     }
   file.close();
   std::ostringstream out;
-  CHECK(report_on({"lab-test-runs.jsonl"}, "", out) == 0);
+  CHECK(report_on({runs}, "", out) == 0);
   CHECK(out.str().find("tries 0.500 (0.500 to 0.500)") != std::string::npos);
   CHECK(out.str().find("served_inside no difference seen (0.000 to 0.000)") != std::string::npos);
-  CHECK_THROWS_WITH(report_on({"lab-test-runs.jsonl", "lab-test-runs.jsonl"}, "", out),
-                    Catch::Contains("lab-test-runs.jsonl:1: no run: seed 1 stands there twice"));
-  std::ofstream("lab-test-runs.jsonl") << "{\"scenario\": 3}\n";
-  CHECK_THROWS_WITH(report_on({"lab-test-runs.jsonl"}, "", out),
-                    Catch::Contains("lab-test-runs.jsonl:1: no run"));
-  std::remove("lab-test-runs.jsonl");
+  CHECK_THROWS_WITH(report_on({runs, runs}, "", out),
+                    Catch::Contains(runs + ":1: no run: seed 1 stands there twice"));
+  std::ofstream(runs) << "{\"scenario\": 3}\n";
+  CHECK_THROWS_WITH(report_on({runs}, "", out), Catch::Contains(runs + ":1: no run"));
+  std::remove(runs.c_str());
 }
 
 int exit_code(const std::string& arguments) {
