--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -208,7 +208,7 @@
   std::vector<Second> seconds_;
   std::vector<double> latencies_;
   std::vector<Span> told_until_;
-  Span list_silent_until_{0};
+  std::vector<Span> list_silent_until_;  // by gatekeeper
   CallNumber last_ = 0;
   double units_sent_ = 0, units_beyond_ = 0;
 };
@@ -392,6 +392,7 @@
       seconds_(static_cast<std::size_t>(what.length / 1s) + 120) {
   for (int me = 0; me < what.terms.gatekeepers; ++me) hosts.push_back(std::make_unique<Host>(*this, me));
   told_until_.resize(hosts.size());
+  list_silent_until_.resize(hosts.size());
   found_customers();
 }
 
@@ -560,7 +561,7 @@
 void World::list_tells(int worker, Phase phase) {
   const Span started = workers.started(worker);
   for (std::size_t i = 0; i < hosts.size(); ++i) {
-    const Span when = std::max(events.now(), list_silent_until_) + list_.spread(scenario.list_late);
+    const Span when = std::max(events.now(), list_silent_until_[i]) + list_.spread(scenario.list_late);
     told_until_[i] = std::max(told_until_[i], when);
     events.at(told_until_[i], [=, this] { hosts[i]->list_changes(worker, phase, started); });
   }
@@ -605,8 +606,15 @@
     case FaultKind::replace:
       return replace(which(static_cast<std::size_t>(scenario.workers)), fault.length);
     case FaultKind::list_silent:
-      list_silent_until_ = std::max(list_silent_until_, events.now() + fault.length);
+    case FaultKind::list_overbooked: {
+      // All of them hear nothing, or those that an overbooked service turns away.
+      const double part = fault.kind == FaultKind::list_silent ? 1 : fault.part;
+      for (const int at : some(hosts.size(), part)) {
+        Span& until = list_silent_until_[static_cast<std::size_t>(at)];
+        until = std::max(until, events.now() + fault.length);
+      }
       return;
+    }
     case FaultKind::counter_refuse:
     case FaultKind::counter_silent:
     case FaultKind::counter_slow:
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -10,19 +10,21 @@
 namespace ironquay::lab {
 namespace {
 
-const std::map<std::string, FaultKind, std::less<>> kFaults = {{"worker-slow", FaultKind::worker_slow},
-                                                               {"worker-hang", FaultKind::worker_hang},
-                                                               {"worker-crash", FaultKind::worker_crash},
-                                                               {"worker-vanish", FaultKind::worker_vanish},
-                                                               {"worker-error", FaultKind::worker_error},
-                                                               {"replace", FaultKind::replace},
-                                                               {"list-silent", FaultKind::list_silent},
-                                                               {"counter-refuse", FaultKind::counter_refuse},
-                                                               {"counter-silent", FaultKind::counter_silent},
-                                                               {"counter-slow", FaultKind::counter_slow},
-                                                               {"counter-split", FaultKind::counter_split},
-                                                               {"restart", FaultKind::restart},
-                                                               {"burst", FaultKind::burst}};
+const std::map<std::string, FaultKind, std::less<>> kFaults = {
+    {"worker-slow", FaultKind::worker_slow},
+    {"worker-hang", FaultKind::worker_hang},
+    {"worker-crash", FaultKind::worker_crash},
+    {"worker-vanish", FaultKind::worker_vanish},
+    {"worker-error", FaultKind::worker_error},
+    {"replace", FaultKind::replace},
+    {"list-silent", FaultKind::list_silent},
+    {"list-overbooked", FaultKind::list_overbooked},
+    {"counter-refuse", FaultKind::counter_refuse},
+    {"counter-silent", FaultKind::counter_silent},
+    {"counter-slow", FaultKind::counter_slow},
+    {"counter-split", FaultKind::counter_split},
+    {"restart", FaultKind::restart},
+    {"burst", FaultKind::burst}};
 
 const std::map<std::string, Repeat, std::less<>> kRepeats = {{"idempotent", Repeat::idempotent},
                                                              {"tokened", Repeat::tokened},
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -31,6 +31,7 @@
   worker_error,
   replace,
   list_silent,
+  list_overbooked,
   counter_refuse,
   counter_silent,
   counter_slow,
--- a/test/lab_test.cpp
+++ b/test/lab_test.cpp
@@ -96,8 +96,8 @@
 
 TEST_CASE("faults of every kind leave the rules kept") {
   for (const char* kind : {"worker-slow", "worker-hang", "worker-crash", "worker-vanish", "worker-error",
-                           "replace", "list-silent", "counter-refuse", "counter-silent", "counter-slow",
-                           "counter-split", "restart", "burst"}) {
+                           "replace", "list-silent", "list-overbooked", "counter-refuse", "counter-silent",
+                           "counter-slow", "counter-split", "restart", "burst"}) {
     const Scenario scenario = scenario_of(
         std::string("[clients]\nimpatient = 0.1\n[[fault]]\nkind = \"") + kind +
             "\"\nat_ms = 1000\nlength_ms = 1500\npart = 0.4\nfactor = 3\nempty = true\nplan = \"p\"\n",
