Half-close everywhere, drains cut calls short, dials lapse, an asked list is asked beside

Now one way everywhere: half-close, read on for 1 s (50 ms where descriptors are short), close; what is read after it is thrown away. - After SIGTERM a call kept its client's full time, though SIGKILL may come after min(longest client timeout, 3 s) + 0.7 s. Calls that come, and those held, are cut short to 0.3 s before that, through the time left that the decisions get. - another_caller() could end a connection that look_at_drain() was about to visit. It now only half-closes, and the walk goes over a copy. - A try waiting for its connection was written whatever had happened meanwhile.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -85,6 +85,11 @@
 
 // ---- What may still be done with an API call. All code asks here.
 
+// Two ticks and the way there: a repeat must reach the worker while it still recalls the first.
+Span Choice::recalled_until(const UpstreamTry& first, const Route& route) const {
+  return first.sent + route.recall - 2 * terms_.tick - 10ms;
+}
+
 Leave Choice::leave_for(const ApiCall& call) const {
   const Route& route = terms_.routes[call.route];
   Leave leave;
@@ -99,13 +104,31 @@
   if (first_run && route.repeat == Repeat::non_idempotent) leave.send = leave.rate_limit = false;
   if (first_run && route.repeat == Repeat::tokened) {
     leave.bound_to = first_run;
-    // Two ticks and the way there: a repeat must reach the worker while it still recalls the first.
-    if (now_ >= first_run->sent + route.recall - 2 * terms_.tick - 10ms) leave.send = false;
+    if (now_ >= recalled_until(*first_run, route)) leave.send = false;
     if (route.scope != Scope::all) leave.rate_limit = false;
   }
   return leave;
 }
 
+// A try may wait for a connection to come up, longer than what allowed it holds. Its worker, what it repeats
+// and a cold worker's share are looked at again; a quarter of a fall's time late, shares of that long meet at
+// once, and all of them together still stay under one and a quarter of the worker's capacity.
+bool Choice::may_still_go(Span now, CallId id, std::size_t at) const {
+  const auto found = state.calls.find(id);
+  if (found == state.calls.end() || at >= found->second.tries.size()) return false;
+  const UpstreamTry& one = found->second.tries[at];
+  const Route& route = terms_.routes[found->second.route];
+  const auto worker = state.workers.find(one.worker);
+  if (worker == state.workers.end() || worker->second.phase != Phase::ready) return false;
+  if (ramp(worker->second, now) < 1 && now - one.sent > terms_.promises.fall / 4) return false;
+  for (const UpstreamTry& before : found->second.tries) {
+    if (&before == &one) break;
+    if (!before.may_have_run || route.repeat == Repeat::idempotent) continue;
+    return route.repeat == Repeat::tokened && now < recalled_until(before, route);
+  }
+  return true;
+}
+
 void Choice::give_up(CallId id, Span come_back) {
   ApiCall& call = state.calls.at(id);
   const Leave leave = leave_for(call);
@@ -134,6 +157,12 @@
   state.calls.erase(id);
 }
 
+void Choice::set_due(CallId id, ApiCall& call, Span due) {
+  state.dues.erase({call.due, id});
+  call.due = due;
+  state.dues.insert({call.due, id});
+}
+
 void Choice::end_due() { give_up(state.dues.begin()->second, terms_.permits.longest_advice); }
 
 // ---- Quota: local slices, moved each round through a pool on the counter.
@@ -327,8 +356,8 @@
 
 // ---- Workers: whom to ask, how much, and for how long.
 
-double Choice::ramp(const Worker& worker) const {
-  const double age = seconds(now_ - worker.started) / std::max(seconds(terms_.promises.warm_after), 1e-3);
+double Choice::ramp(const Worker& worker, Span now) const {
+  const double age = seconds(now - worker.started) / std::max(seconds(terms_.promises.warm_after), 1e-3);
   if (worker.started <= 0s || age >= 1) return 1;
   return terms_.promises.cold_share + (1 - terms_.promises.cold_share) * std::max(0.0, age);
 }
@@ -337,7 +366,7 @@
 // can have by now. All of them together stay under its capacity, and so under any stated multiple. Only those
 // whose rows hold it share in this: what hundreds of others save up as well would meet at one worker.
 void Choice::fill_cold(Worker& worker, bool in_row) const {
-  const double warm = ramp(worker);
+  const double warm = ramp(worker, now_);
   if (warm >= 1) return;
   // A gatekeeper that has just started finds out about it too: all of them by four sends a second at most.
   const double warm_part = state.warm / std::max(1.0, static_cast<double>(state.ready.size()));
@@ -355,7 +384,7 @@
   // A window under one is a share of the time: after each end the worker is left alone for a while.
   if (worker.window < 1 && now_ < worker.ended + spanning((1 / worker.window - 1) * worker.usual))
     return false;
-  if (ramp(worker) < 1) {
+  if (ramp(worker, now_) < 1) {
     // Gatekeepers take turns at a fresh worker by their own number in the first two stated windows. Later the
     // budget alone holds: turns besides left new workers idle through a long release.
     const Span turn = std::max<Span>(terms_.promises.fall / std::max(1, terms_.gatekeepers), 1us);
@@ -411,12 +440,12 @@
   Slice& slice = state.slices.at(call.customer);
   if (call.tries.empty()) slice.ceiling -= call.units;
   ++slice.out;
-  if (ramp(worker) < 1) worker.cold_budget -= 1;
+  if (ramp(worker, now_) < 1) worker.cold_budget -= 1;
   ++worker.out;
   ++state.out;
   state.send_rate *= std::exp(-seconds(now_ - state.send_at) / 2);  // over two seconds or so
   state.send_at = now_;
-  if (ramp(worker) >= 1) state.send_rate += 0.5;
+  if (ramp(worker, now_) >= 1) state.send_rate += 0.5;
   call.tries.push_back({to, worker.zone, worker.cell, now_, true, true});
   // Where another try may follow in time, this one leaves a third of the target for it: thrice what nearly
   // all answers need, no less than ordinary slow ones. A pressed fleet gets the whole time.
@@ -552,7 +581,7 @@
     if (worker.phase != Phase::ready) continue;
     state.ready.push_back(id);
     state.room += worker.window;
-    state.warm += ramp(worker) >= 1;
+    state.warm += ramp(worker, now_) >= 1;
   }
   // Gone and done with, as new machines have new ids.
   std::erase_if(state.workers, [](auto& one) { return one.second.phase == Phase::gone && !one.second.out; });
@@ -729,6 +758,15 @@
   settle();
 }
 
+// It gets its final answer by then: this gatekeeper may be gone afterwards.
+void Choice::cut_short(Span now, CallId id, Span left) {
+  hear(now);
+  const auto found = state.calls.find(id);
+  if (found != state.calls.end() && !found->second.streaming)
+    set_due(id, found->second, std::min(found->second.due, now + left - 3 * terms_.tick));
+  settle();
+}
+
 void Choice::wakes(Span now) {
   hear(now);
   if (state.woken_for <= now) state.woken_for = Span::max();
--- a/src/choice.hpp
+++ b/src/choice.hpp
@@ -46,11 +46,15 @@
   void try_ends(Span now, CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
                 bool finished, double true_units);
   void client_leaves(Span now, CallId call);
+  void cut_short(Span now, CallId call, Span left);
   void wakes(Span now);
   void probe_ends(Span now, WorkerId worker, Outcome outcome, Span took);
   void peer_says(Span now, int peer, std::string_view bytes);
   void count_ends(Span now, std::string_view name, Outcome outcome, double total);
 
+  // Whether a try whose bytes had to wait may still be written. Where not, it ends as not sent.
+  bool may_still_go(Span now, CallId call, std::size_t upstream_try) const;
+
   // Steps of the above, open to the tests.
   Leave leave_for(const ApiCall& call) const;
   bool may_take(const ApiCall& call, WorkerId id) const;
@@ -74,12 +78,14 @@
   void send_waiting();
   void drop_waiting();
   void stop_waiting(CallId id, ApiCall& call);
+  Span recalled_until(const UpstreamTry& first, const Route& route) const;
   std::size_t row() const;
   bool pick(const ApiCall& call, WorkerId& chosen);
-  double ramp(const Worker& worker) const;
+  double ramp(const Worker& worker, Span now) const;
   void send_to(CallId id, ApiCall& call, WorkerId worker);
   void give_up(CallId id, Span come_back);
   void forget(CallId id);
+  void set_due(CallId id, ApiCall& call, Span due);
   void admit(CallId id, bool inside, double come_back);
   void take_for(CallId id, const ApiCall& call, Slice& slice);
   double part_asking(const ApiCall& call) const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,14 +11,21 @@
 namespace {
 
 using namespace ironquay::net;
+using ironquay::Span;
+
+using namespace std::chrono_literals;
+
+sigset_t handled_signals() {
+  sigset_t which;
+  sigemptyset(&which);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&which, signal);
+  return which;
+}
 
 class Signals : Loop::Handler {
  public:
   Signals(Loop& loop, std::function<void(int)> heard) : loop_(loop), heard_(std::move(heard)) {
-    sigset_t which;
-    sigemptyset(&which);
-    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&which, signal);
-    sigprocmask(SIG_BLOCK, &which, nullptr);
+    const sigset_t which = handled_signals();
     fd_ = Fd(signalfd(-1, &which, SFD_NONBLOCK | SFD_CLOEXEC));
     token_ = loop.watch(fd_.get(), *this);
   }
@@ -35,30 +42,61 @@
   Loop::Token token_ = 0;
 };
 
-// A file that cannot be read changes nothing.
-void reload(Gatekeeper& gatekeeper) {
-  try {
-    const Told told = read_config(Reading::again);
-    log("reload discovery=%s counter=%s", text_of(told.discovery).c_str(),
-        told.counter ? text_of(*told.counter).c_str() : "none");
-    gatekeeper.reconfigure(told);
-  } catch (const std::exception& error) {
-    log("reload failed, the configuration before stands: %s", error.what());
+// Reads the file again. It may be half there when the signal comes, and no second signal follows: it is read
+// once more until what it tells counts all the same, 4 s after the signal. A file that cannot be used changes
+// nothing.
+class Reload {
+ public:
+  Reload(Loop& loop, Gatekeeper& gatekeeper)
+      : loop_(loop), gatekeeper_(gatekeeper), again_(loop, [this] { look(); }) {}
+  void start() {
+    until_ = loop_.now() + kPatience;
+    told_of_ = false;
+    look();
   }
-}
+
+ private:
+  static constexpr Span kPatience = 4s, kPause = 100ms;
+
+  void look() {
+    again_.stop();
+    try {
+      const Told told = read_config(Reading::again);
+      log("reload discovery=%s counter=%s", text_of(told.discovery).c_str(),
+          told.counter ? text_of(*told.counter).c_str() : "none");
+      gatekeeper_.reconfigure(told);
+    } catch (const std::exception& error) {
+      if (!std::exchange(told_of_, true))
+        log("reload failed, the configuration before stands: %s", error.what());
+      if (loop_.now() < until_) again_.in(kPause);
+    }
+  }
+
+  Loop& loop_;
+  Gatekeeper& gatekeeper_;
+  Timer again_;
+  Span until_{0};
+  bool told_of_ = false;
+};
 
 }  // namespace
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
+  // Before anything else: a signal that comes during the start waits for the loop.
+  const sigset_t which = handled_signals();
+  sigprocmask(SIG_BLOCK, &which, nullptr);
   try {
     Loop loop;
     Told told = read_config(Reading::at_start);
     const std::string name = told.name, at = text_of(told.listen);
     Gatekeeper gatekeeper(loop, std::move(told),
                           [&] { log("ready name=%s listen=%s", name.c_str(), at.c_str()); });
+    Reload reload(loop, gatekeeper);
+    bool drains = false;
     Signals signals(loop, [&](int signal) {
-      if (signal == SIGHUP) return reload(gatekeeper);
+      if (signal == SIGHUP) return reload.start();
+      if (std::exchange(drains, true)) return;
       log("drain name=%s", name.c_str());
       gatekeeper.drain();
     });
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -22,11 +22,18 @@
 constexpr std::size_t kMostCalls = 1024, kMostUnwritten = 256 * 1024;
 // New connections come for 0.4 s after SIGTERM at most; then what is idle is told to go elsewhere.
 constexpr Span kTakeOn = 450ms;
-// For so long a connection that was told of its end may take to end its own side (in a drain for as long as
-// any client waits), and so much it may send meanwhile: what was under way when it was told, at a few
-// buffers.
-constexpr Span kLinger = 1s;
+// A half-closed connection is read on for so long (in a drain for as long as any client waits), and so much
+// it may send meanwhile: what was under way when it was told, at a few buffers. Where descriptors are short
+// it is some round trips of the slowest client.
+constexpr Span kLinger = 1s, kShortLinger = 50ms;
 constexpr std::size_t kMostSkipped = 1024 * 1024;
+// So many may be half-closed beside the places: a third of the descriptors kept for the program itself.
+constexpr std::size_t kLingerers = 8;
+// The platform kills no sooner after SIGTERM than any client waits, counted as 3 s where that is longer, and
+// 0.7 s. The last tenths are for the answers' way out and for a process that gets its core late.
+constexpr Span kLongestCounted = 3s, kKillAfter = 700ms, kWayOut = 300ms;
+// Whoever takes none of the bytes it is owed holds the end up for as long as the system waits for a client.
+constexpr Span kLastBytes = 20s;
 // With no API call open, a connection may be ended after 2 s. One that has sent no whole command by then is;
 // one that has, while more than half of the places are taken.
 constexpr Span kIdle = 2s, kSweep = 250ms;
@@ -60,6 +67,7 @@
   void forget_tag();
 
   Conn* conn_;
+  Span due_{0};  // when its time is over
   bool answered_ = false;
   std::string late_;  // an answer that waits for those before it
   std::size_t weight_ = 0;
@@ -72,7 +80,8 @@
         stream_(clients.loop_, std::move(fd), *this, true),
         peer_(peer),
         idle_since_(clients.loop_.now()),
-        linger_(clients.loop_, [this] { end("linger"); }) {}
+        unseen_since_(clients.full_since_),
+        linger_(clients.loop_, [this] { lingers() ? end("linger") : abandon(); }) {}
 
   void ready(std::uint32_t events) override {
     clients_.finished_.clear();
@@ -82,8 +91,10 @@
     corked_ = false;
     if (!batch_.empty()) stream_.write({batch_});
     batch_ = std::string();
-    // A paused stream reads no end, but a broken one tells of it all the same.
     if (stream_.over(events)) return end(stream_.end() == End::peer_closed ? "client-eof" : "client-reset");
+    // A paused stream reads no end: what its client still waits for must not go on when it has left.
+    if (stream_.paused() && (events & EPOLLRDHUP)) return end("client-eof");
+    if (!stream_.paused() && stream_.read_out()) unseen_since_.reset();
     settle();
   }
 
@@ -94,11 +105,18 @@
   bool called_ever() const { return called_; }
   bool quiet() const { return stream_.quiet(); }
   bool half_sent() const { return !stream_.unread().empty(); }
-  // No answer will follow on it, and nothing more of it is read as a command.
+  bool ended() const { return ended_; }
+  bool leaves() const { return reason_ != nullptr; }
+  bool lingers() const { return home_ == &clients_.lingering_; }
+  bool lingers_for(Span time) const { return clients_.loop_.now() - idle_since_ >= time; }
+  bool client_has_left() const { return stream_.ended_by_peer(); }
+  // The one way to end a connection whose client has not: nothing more of it is read as a command, what it is
+  // owed is written, then comes the half-close.
   void leave(const char* reason) {
     if (reason_) return;
     reason_ = reason;
-    if (!corked_ && idle()) finish();
+    clients_.callers_ -= std::exchange(called_, false);
+    if (!corked_ && owes_nothing()) half_close();
   }
   void end(const char* reason) {
     if (ended_) return;
@@ -106,23 +124,25 @@
     log("end peer=client addr=%s reason=%s commands=%zu held=%zu", text_of(peer_).c_str(),
         reason_ ? reason_ : reason, commands_, line_.size());
     stream_.close();
-    clients_.backlog_ -= backlog_;
-    clients_.callers_ -= called_;
-    for (auto& call : line_) {
-      if (!call->answered_) call->forget_tag();
-      call->conn_ = nullptr;
-      clients_.held_ -= call->weight_;
-      --clients_.calls_;
-      if (!call->answered_) clients_.listener_.client_left(*call);
-      clients_.finished_.push_back(std::move(call));
-    }
-    line_.clear();
+    clients_.callers_ -= std::exchange(called_, false);
+    release();
+    clients_.loop_.destroy_later(std::move(*place_));
+    home_->erase(place_);
     // One may have been kept waiting for this place.
-    if (clients_.conns_.size() >= clients_.most_) clients_.loop_.again(*clients_.token_, EPOLLIN);
-    clients_.loop_.bury(std::move(*place_));
-    clients_.conns_.erase(place_);
+    if (clients_.full_since_) clients_.loop_.again(*clients_.token_, EPOLLIN);
+  }
+  // Shortens what is held to the time left until this process may be killed.
+  void cut_short(Span left) {
+    std::vector<Call*> longer;
+    for (const auto& call : line_)
+      if (!call->answered_ && call->due_ - clients_.loop_.now() > left) longer.push_back(call.get());
+    for (Call* call : longer) {
+      call->left = left;
+      if (!call->answered_) clients_.listener_.call_cut_short(*call);
+    }
   }
 
+  Conns* home_ = nullptr;
   Conns::iterator place_;
 
  private:
@@ -134,6 +154,7 @@
       if (reason_) return skip(bytes.size());
       if (line_.size() >= kMostCalls || stream_.unwritten() > kMostUnwritten) {
         stream_.pause();
+        if (!unseen_since_) unseen_since_ = clients_.loop_.now();
         break;
       }
       resp::Command command;
@@ -184,7 +205,7 @@
       if (call.has_body) call.body = command.words[4];
       wrong = read_marks(call, get);
     }
-    if (!wrong && clients_.open_.contains(call.tag)) wrong = "-ERR this id is open already\r\n";
+    if (!wrong && open_elsewhere(call.tag)) wrong = "-ERR this id is open already\r\n";
     if (wrong) return call.answer({wrong});
     if (!std::exchange(called_, true)) clients_.another_caller();
     call.weight_ = command.bytes;
@@ -192,10 +213,24 @@
     const std::size_t cap = clients_.born_.links.open_cap;
     if ((cap > 0 && clients_.calls_ > cap) || clients_.held_ + clients_.backlog_ > clients_.memory_)
       return call.answer({"-BUSY\r\n"});
+    call.due_ = clients_.loop_.now() + call.left;
     clients_.listener_.call_came(call);
     if (call.answered_) return;
     call.keep();
-    clients_.open_.insert(call.tag);
+    clients_.open_.emplace(call.tag, &call);
+  }
+
+  // A client that broke off and came again with the same call may be ahead of its own end. What was sent on
+  // meanwhile and may not run again is still open.
+  bool open_elsewhere(std::string_view tag) {
+    const auto open = clients_.open_.find(tag);
+    if (open == clients_.open_.end()) return false;
+    const Call& before = *open->second;
+    const bool again =
+        before.tries == 0 || clients_.born_.terms.routes[before.route].repeat == Repeat::idempotent;
+    if (!again || before.conn_ == this || !before.conn_->client_has_left()) return true;
+    before.conn_->end("client-eof");
+    return false;
   }
 
   // What is wrong with the command, in the words of an answer, or nothing.
@@ -231,8 +266,10 @@
     double left = 0;
     // An hour is longer than any client waits.
     if (!number(wait, left) || !(std::abs(left) <= 3.6e6)) return "-ERR d is no time\r\n";
+    const Span now = clients_.loop_.now();
     call.left = std::min(Span(std::llround(left * 1000)), born.terms.routes[call.route].client_timeout) -
-                clients_.loop_.lag();
+                std::max(clients_.loop_.lag(), now - unseen_since_.value_or(now));
+    if (clients_.drains_) call.left = std::min(call.left, clients_.killed_at_ - now);
     if (!number(units, call.units) || !(call.units > 0 && call.units <= born.terms.most_units))
       return "-ERR units is out of range\r\n";
     const int gatekeepers = std::max(1, born.terms.gatekeepers);
@@ -250,7 +287,7 @@
   Call& place() {
     line_.push_back(std::make_unique<Call>(this));
     ++clients_.calls_;
-    clients_.conns_.splice(clients_.conns_.end(), clients_.conns_, place_);
+    home_->splice(home_->end(), *home_, place_);
     return *line_.back();
   }
   void say(const char* text) { place().answer({text}); }
@@ -281,24 +318,57 @@
     clients_.backlog_ += stream_.unwritten() - backlog_;
     backlog_ = stream_.unwritten();
     // Memory is short, and this one takes none of its answers: let go of, but not from within its own call.
-    if (backlog_ > kMostUnwritten && clients_.backlog_ + clients_.held_ > clients_.memory_) {
-      reason_ = "slow-reader";
+    if (!reason_ && backlog_ > kMostUnwritten && clients_.backlog_ + clients_.held_ > clients_.memory_) {
+      leave("slow-reader");
       return linger_.in(0s);
     }
-    if (clients_.drains_ && asked_ever() && idle()) leave("drain");
-    if (reason_ && line_.empty() && stream_.all_written()) finish();
+    if (clients_.drains_ && asked_ever() && idle()) {
+      // What has come behind the last command is a command like any other.
+      if (!quiet()) return stream_.look_again();
+      leave("drain");
+    }
+    if (reason_ && owes_nothing()) half_close();
   }
-  // A half-closed connection: a close with unread bytes would be a reset, which eats answers under way.
-  void finish() {
-    if (linger_.set() || ended_) return;
+  // What came or comes now is read and thrown away: a close over unread bytes would be a reset, which takes
+  // answers under way with it and tells the client nothing.
+  void half_close() {
+    if (lingers() || ended_) return;
+    idle_since_ = clients_.loop_.now();
     stream_.end_sending();
-    linger_.in(clients_.drains_ ? clients_.longest_wait_ : kLinger);
+    stream_.drop_unread();
+    if (!linger_.set()) linger_.in(clients_.drains_ ? clients_.longest_wait_ : kLinger);
+    clients_.lingering_.splice(clients_.lingering_.end(), *home_, place_);
+    home_ = &clients_.lingering_;
+  }
+  // Gives up what it is owed.
+  void abandon() {
+    stream_.drop_unwritten();
+    release();
+    half_close();
+  }
+  void release() {
+    clients_.backlog_ -= std::exchange(backlog_, 0);
+    auto line = std::move(line_);
+    line_.clear();
+    // What the listener does about one may answer another.
+    for (auto& call : line) {
+      if (!call->answered_) call->forget_tag();
+      call->conn_ = nullptr;
+    }
+    for (auto& call : line) {
+      clients_.held_ -= call->weight_;
+      --clients_.calls_;
+      if (!call->answered_) clients_.listener_.client_left(*call);
+      clients_.finished_.push_back(std::move(call));
+    }
   }
 
   Clients& clients_;
   Stream stream_;
   Address peer_;
-  Span idle_since_;  // since it was accepted, or since it was last owed something
+  Span idle_since_;  // since it was accepted, was last owed something, or was half-closed
+  // Commands may have come since then and not been read: it was paused, or waited to be accepted.
+  std::optional<Span> unseen_since_;
   Timer linger_;
   std::deque<std::unique_ptr<Call>> line_;  // in the order of the commands
   std::string batch_;
@@ -352,7 +422,7 @@
 }
 
 void Clients::open() {
-  if (token_ || !socket_) return;
+  if (token_ || drains_) return;
   if (!listen_on(socket_))
     throw std::system_error(errno, std::generic_category(), "listening at " + text_of(address_));
   token_ = loop_.watch(socket_.get(), *this);
@@ -369,39 +439,56 @@
   // A flood of connections takes turns with the rest.
   for (int turns = 0; turns < 64; ++turns) {
     // Full, and all are busy: those that end make room.
-    if (conns_.size() >= most_ && dispensable() == conns_.end()) return;
+    if (!make_room()) return;
     Address peer{};
     Fd fd = accept_from(socket_, peer);
     if (!fd) {
       // Out of descriptors or memory: again when some may be free. A connection that broke is passed over.
       if (errno == ECONNABORTED || errno == EINTR) continue;
-      if (errno != EAGAIN && !retry_.set()) {
+      if (errno == EAGAIN) return full_since_.reset();
+      if (!retry_.set()) {
         log("accept failed errno=%d clients=%zu", errno, conns_.size());
         retry_.in(50ms);
       }
+      if (!full_since_) full_since_ = loop_.now();
       return;
     }
-    if (conns_.size() >= most_) (*dispensable())->end("descriptors");
     last_accept_ = loop_.now();
     conns_.push_back(std::make_unique<Conn>(*this, std::move(fd), peer));
     conns_.back()->place_ = std::prev(conns_.end());
+    conns_.back()->home_ = &conns_;
   }
   loop_.again(*token_, EPOLLIN);
 }
 
+// Where all places are taken one gives its own up. A few descriptors beside them are for those half-closed.
+bool Clients::make_room() {
+  const bool dear = conns_.size() + lingering_.size() >= most_ + kLingerers;
+  const bool early = dear && (lingering_.empty() || !lingering_.front()->lingers_for(kShortLinger));
+  const bool full = conns_.size() >= most_;
+  const auto next = full && !early ? dispensable() : conns_.end();
+  if (early || (full && next == conns_.end())) {
+    if (!full_since_) full_since_ = loop_.now();
+    if (early && !lingering_.empty()) retry_.in(kShortLinger / 5);
+    return false;
+  }
+  if (dear) lingering_.front()->end("linger");
+  if (full) (*next)->leave("descriptors");
+  return true;
+}
+
 // One that may be ended by now, or else is idle, or has asked nothing yet, or has been sending a command for
 // long; of each kind the one for longest. Where a command has come unread, it is none of them.
 Clients::Conns::iterator Clients::dispensable() {
   const auto first = [&](auto fits) {
-    return std::find_if(conns_.begin(), conns_.end(),
-                        [&](const auto& conn) { return conn->idle() && fits(*conn) && conn->quiet(); });
+    return std::find_if(conns_.begin(), conns_.end(), [&](const auto& conn) {
+      return !conn->leaves() && conn->owes_nothing() && fits(*conn) && conn->quiet();
+    });
   };
-  auto found = first([](const Conn& conn) { return conn.idle_for(kIdle); });
-  if (found == conns_.end()) found = first([](const Conn& conn) { return conn.asked_ever(); });
-  if (found == conns_.end()) found = first([](const Conn&) { return true; });
-  if (found != conns_.end()) return found;
-  return std::find_if(conns_.begin(), conns_.end(),
-                      [](const auto& conn) { return conn->half_sent() && conn->owes_nothing(); });
+  auto found = first([](const Conn& conn) { return conn.idle() && conn.idle_for(kIdle); });
+  if (found == conns_.end()) found = first([](const Conn& conn) { return conn.idle() && conn.asked_ever(); });
+  if (found == conns_.end()) found = first([](const Conn& conn) { return conn.idle(); });
+  return found != conns_.end() ? found : first([](const Conn& conn) { return conn.half_sent(); });
 }
 
 void Clients::another_caller() {
@@ -409,7 +496,7 @@
   const auto idle = std::find_if(conns_.begin(), conns_.end(), [](const auto& conn) {
     return conn->called_ever() && conn->idle() && conn->quiet();
   });
-  if (idle != conns_.end()) (*idle)->end("callers");
+  if (idle != conns_.end()) (*idle)->leave("callers");
 }
 
 void Clients::end_idle() {
@@ -417,11 +504,11 @@
   std::size_t left = conns_.size();
   for (auto next = conns_.begin(); next != conns_.end();) {
     Conn& conn = **next++;
-    if (!conn.owes_nothing() || !conn.idle_for(kIdle)) continue;
+    if (conn.leaves() || !conn.owes_nothing() || !conn.idle_for(kIdle)) continue;
     const char* reason = conn.half_sent() ? "half-sent" : conn.asked_ever() ? "idle" : "silent";
-    if (conn.idle() && ((conn.asked_ever() && left <= most_ / 2) || !conn.quiet())) continue;
+    if ((conn.idle() && conn.asked_ever() && left <= most_ / 2) || !conn.quiet()) continue;
     --left;
-    conn.end(reason);
+    conn.leave(reason);
   }
 }
 
@@ -430,25 +517,38 @@
   drains_ = true;
   drained_ = std::move(done);
   drain_began_ = loop_.now();
-  draining_.in(kTakeOn);
+  killed_at_ = drain_began_ + std::min(longest_wait_, kLongestCounted) + kKillAfter - kWayOut;
+  for (Conn* conn : open_conns()) conn->cut_short(killed_at_ - drain_began_);
+  // Where nobody was let in yet, nobody is owed anything.
+  draining_.in(token_ ? kTakeOn : 0s);
+}
+
+// What the loop's round has ended by then can still be asked whether it has.
+std::vector<Clients::Conn*> Clients::open_conns() const {
+  std::vector<Conn*> all;
+  for (const auto& conn : conns_) all.push_back(conn.get());
+  return all;
 }
 
 void Clients::look_at_drain() {
   const Span now = loop_.now();
   accept_all();
-  for (auto next = conns_.begin(); next != conns_.end();) {
-    Conn& conn = **next++;
+  for (Conn* conn : open_conns()) {
     // What came in since its last event is a command like any other.
-    conn.ready(EPOLLIN | EPOLLRDHUP);
-    if (conn.idle()) conn.leave("drain");
+    if (!conn->ended()) conn->ready(Loop::kLook);
+    if (!conn->ended() && conn->idle() && conn->quiet()) conn->leave("drain");
   }
-  const bool coming = now - std::max(last_accept_, drain_began_) < kTakeOn;
+  // A closed listener resets those that wait in its line: it stays while there is no place for them.
+  const bool coming = token_ && (full_since_ || now - std::max(last_accept_, drain_began_) < kTakeOn);
   // The address is free for the next start, while what is held is finished.
   if (!coming) socket_ = Fd();
   // While a connection is open its client may still send on it. One that never finishes its command, nor ends
-  // its side, holds the end up for as long as a client waits.
-  const bool late = now - drain_began_ > kTakeOn + longest_wait_;
-  if (coming || calls_ > 0 || (!conns_.empty() && !late)) return draining_.in(20ms);
+  // its side, holds the end up for as long as a client waits; one that has bytes to take for longer.
+  const bool owed =
+      std::any_of(conns_.begin(), conns_.end(), [](const auto& c) { return !c->owes_nothing(); });
+  const bool open = !conns_.empty() || !lingering_.empty();
+  const Span most = kTakeOn + (owed ? std::max(longest_wait_, kLastBytes) : longest_wait_);
+  if (coming || calls_ > 0 || (open && now - drain_began_ <= most)) return draining_.in(20ms);
   std::exchange(drained_, nullptr)();
 }
 
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -4,7 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string_view>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 #include "decode_terms.hpp"
@@ -22,6 +22,8 @@
     // The exchange lives until it is answered or its client has left.
     virtual void call_came(Exchange& exchange) = 0;
     virtual void client_left(Exchange& exchange) = 0;
+    // Its time left has become shorter.
+    virtual void call_cut_short(Exchange& exchange) = 0;
   };
 
   // Takes the address; throws std::system_error where it cannot. Nobody gets through before open().
@@ -39,7 +41,9 @@
 
   void ready(std::uint32_t events) override;
   void accept_all();
+  bool make_room();
   Conns::iterator dispensable();
+  std::vector<Conn*> open_conns() const;
   void end_idle();
   void another_caller();
   void look_at_drain();
@@ -56,15 +60,18 @@
   std::size_t held_ = 0;              // bytes of calls, and of answers that wait for those before them
   std::size_t backlog_ = 0;           // bytes of answers not taken by the system
   std::size_t calls_ = 0;
-  std::size_t callers_ = 0;  // connections that carried a call
-  Conns conns_;              // the one used last stands last
+  std::size_t callers_ = 0;         // connections that carried a call
+  Conns conns_;                     // the one used last stands last
+  Conns lingering_;                 // half-closed, the one for longest first
+  std::optional<Span> full_since_;  // connections wait to be accepted
   std::vector<std::unique_ptr<Call>> finished_;
-  std::unordered_set<std::string_view> open_;  // tags of the calls held
+  std::unordered_map<std::string_view, Call*> open_;  // the calls held, by tag
   Timer retry_;
   Timer sweep_;
   Timer draining_;
   std::function<void()> drained_;
   Span drain_began_{0};
+  Span killed_at_{0};  // by then every answer is out
   Span last_accept_{0};
   bool drains_ = false;
 };
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -195,9 +195,9 @@
 void Counter::line_over(Line* line, bool worked, std::vector<End> ends) {
   for (End& end : ends) put(line, std::move(end));
   if (line && line == leaving_.get()) {
-    loop_.bury(std::move(leaving_));
+    loop_.destroy_later(std::move(leaving_));
   } else {
-    if (line) loop_.bury(std::move(line_));
+    if (line) loop_.destroy_later(std::move(line_));
     pause_ = worked ? Span(0) : std::clamp<Span>(2 * pause_, kFirstPause, kLongestPause);
     worked ? connect() : again_.in(pause_);
   }
--- a/src/net/gatekeeper.cpp
+++ b/src/net/gatekeeper.cpp
@@ -5,12 +5,12 @@
 namespace ironquay::net {
 namespace {
 
-// Epoll, signals, list, counter, peers, the listener, the three standard ones, and room for a moment's
-// overlap.
+// Epoll, signals, up to four of the list, two of the counter, peers, the listener, the three standard ones,
+// eight for clients that are half-closed, and room for a moment's overlap.
 constexpr std::size_t kOwnDescriptors = 24;
-// What the agent has counts as told from the first moment, and the known list may be old. The platform gives
-// thirty seconds to get ready: with a third of them left, an agent still silent is taken to be dead.
-constexpr std::chrono::seconds kPatience(20);
+// What the agent has counts as told from the first moment, and the known list may be old. The platform wants
+// restarted gatekeepers ready within ten seconds: an agent silent for nearly as long is waited for no more.
+constexpr std::chrono::seconds kPatience(9);
 
 std::size_t connections(const Told& told) {
   return told.descriptors > 2 * kOwnDescriptors ? told.descriptors - kOwnDescriptors : kOwnDescriptors;
@@ -59,6 +59,9 @@
 }
 
 void Gatekeeper::drain() {
+  // Nobody is let in any more.
+  patience_.stop();
+  ready_ = nullptr;
   clients_.drain([this] { loop_.stop(); });
 }
 
@@ -130,6 +133,14 @@
   if (taken(id)) drive([this, id] { choice_.client_leaves(loop_.now(), id); });
 }
 
+void Gatekeeper::call_cut_short(Exchange& exchange) {
+  drive([this, id = exchange.id, left = exchange.left] { choice_.cut_short(loop_.now(), id, left); });
+}
+
+bool Gatekeeper::may_still_go(CallId call, std::size_t upstream_try) {
+  return choice_.may_still_go(loop_.now(), call, upstream_try);
+}
+
 void Gatekeeper::try_ended(CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
                            std::string_view value, double true_units) {
   bool finished = !calls_.contains(call);
--- a/src/net/gatekeeper.hpp
+++ b/src/net/gatekeeper.hpp
@@ -51,6 +51,8 @@
   // What happens.
   void call_came(Exchange& exchange) override;
   void client_left(Exchange& exchange) override;
+  void call_cut_short(Exchange& exchange) override;
+  bool may_still_go(CallId call, std::size_t upstream_try) override;
   void try_ended(CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
                  std::string_view value, double true_units) override;
   void probe_ended(WorkerId worker, Outcome outcome, Span took) override;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -19,11 +19,14 @@
 // later it is taken to be broken, which leaves room for half a dozen goes.
 constexpr Span kSilence = 2500ms;
 // An agent on this machine answers at once or is silent. It answers what was asked meanwhile when it speaks
-// again; where one does not, the next go is no later than a drain's grace.
-constexpr Span kGo = 500ms, kLongestPause = 400ms;
+// again; where one does not, the next go is well within any drain's grace.
+constexpr Span kGo = 200ms, kLongestPause = 400ms;
 // A shared service works through a line and says so itself where it does not: who leaves the line too early
-// has made it longer for nothing.
-constexpr Span kSharedGo = 10s, kLongestSharedPause = 2s;
+// has made it longer for nothing. So each go may take long, but the next one does not wait for it: as it may
+// have fallen silent as well, there are three in the time after which what a silent watch misses counts as
+// told.
+constexpr Span kSharedGo = 10s, kNextSharedGo = 1500ms, kLongestSharedPause = 2s;
+constexpr std::size_t kSharedGoes = 3;
 // Later than any clock shows; what lies beyond is no time.
 constexpr double kLatestMs = 1e14;
 // Pauses double from the first. The first go at a shared service is spread over as much as makes hundreds of
@@ -49,7 +52,10 @@
 class List::Watch : public Loop::Handler {
  public:
   Watch(List& list, Fd fd, std::int64_t from)
-      : list_(list), address_(list.address_), stream_(list.loop_, std::move(fd), *this, false) {
+      : list_(list),
+        address_(list.address_),
+        asked_at_(list.loop_.now()),
+        stream_(list.loop_, std::move(fd), *this, false) {
     std::string path = "/discovery/hosts?watch=1";
     if (from >= 0) path += "&from=" + std::to_string(from);
     stream_.write({http::get(path, text_of(address_))});
@@ -91,10 +97,12 @@
     stream_.close();
   }
   const Address& address() const { return address_; }
+  Span asked_at() const { return asked_at_; }
 
  private:
   List& list_;
   Address address_;
+  Span asked_at_;
   Stream stream_;
   http::Answer answer_;
   Objects objects_;
@@ -125,7 +133,7 @@
 
 void List::refresh() {
   version_ = -1;
-  if (asking_) over(*asking_, "refresh");
+  end_asking("refresh");
   if (standing_) over(*standing_, "refresh");
   ask();
 }
@@ -136,7 +144,7 @@
   address_ = address;
   version_ = -1;
   pause_ = Span(0);
-  if (asking_) over(*asking_, "moved");
+  end_asking("moved");
   ask();
 }
 
@@ -148,26 +156,37 @@
 
 void List::ask() {
   again_.stop();
-  if (asking_) return;
+  if (asking_.size() >= (at_ == At::agent ? 1 : kSharedGoes)) return;
   Fd fd = connect_to(address_);
   if (!fd) return again_.in(kLongestPause);
-  asking_ = std::make_unique<Watch>(*this, std::move(fd), version_);
-  patience_.in(at_ == At::agent ? kGo : kSharedGo);
+  asking_.push_back(std::make_unique<Watch>(*this, std::move(fd), version_));
+  patience_.in(at_ == At::agent ? kGo : kNextSharedGo);
+}
+
+void List::end_asking(const char* reason, const Watch* but) {
+  patience_.stop();
+  for (auto& watch : asking_) {
+    if (watch.get() == but) continue;
+    watch->end(reason);
+    loop_.destroy_later(std::move(watch));
+  }
+  std::erase(asking_, nullptr);
 }
 
 // Something whole came: the one that was asked stands from now on, and one that stands needs no other.
 void List::heard(Watch& watch) {
-  if (&watch == asking_.get()) {
-    patience_.stop();
+  if (&watch != standing_.get()) {
     if (standing_) {
       standing_->end("replaced");
-      loop_.bury(std::move(standing_));
+      loop_.destroy_later(std::move(standing_));
     }
-    standing_ = std::move(asking_);
-  } else if (asking_ && same(watch.address(), address_)) {
-    patience_.stop();
-    asking_->end("not-needed");
-    loop_.bury(std::move(asking_));
+    end_asking("not-needed", &watch);
+    standing_ = std::move(asking_.front());
+    asking_.clear();
+    again_.stop();
+  } else if (same(watch.address(), address_)) {
+    end_asking("not-needed");
+    again_.stop();
   }
   pause_ = Span(0);
   silence_.in(kSilence);
@@ -212,11 +231,18 @@
 }
 
 void List::over(Watch& watch, const char* reason) {
-  const bool stood = &watch == standing_.get();
+  const auto own =
+      std::find_if(asking_.begin(), asking_.end(), [&](const auto& one) { return one.get() == &watch; });
   watch.end(reason);
-  (stood ? silence_ : patience_).stop();
-  loop_.bury(std::move(stood ? standing_ : asking_));
-  if (asking_ || again_.set()) return;
+  if (own == asking_.end()) {
+    silence_.stop();
+    loop_.destroy_later(std::move(standing_));
+  } else {
+    loop_.destroy_later(std::move(*own));
+    asking_.erase(own);
+  }
+  if (asking_.empty()) patience_.stop();
+  if (again_.set() || (at_ == At::agent && !asking_.empty())) return;
   const Span longest = at_ == At::agent ? kLongestPause : kLongestSharedPause;
   pause_ = std::clamp<Span>(2 * pause_, kFirstPause, longest);
   again_.in(by_chance(pause_));
@@ -229,9 +255,12 @@
   ask();
 }
 
+// A shared service is asked once more beside; there the go that has taken longest ends in its time.
 void List::unanswered() {
-  over(*asking_, "no-answer");
-  if (at_ == At::agent) ask();
+  const Span taken = loop_.now() - asking_.front()->asked_at();
+  if (at_ == At::agent || taken >= kSharedGo) over(*asking_.front(), "no-answer");
+  ask();
+  if (!asking_.empty() && !patience_.set()) patience_.in(kNextSharedGo);
 }
 
 }  // namespace ironquay::net
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "loop.hpp"
 #include "socket.hpp"
@@ -42,6 +43,7 @@
   class Watch;
 
   void ask();
+  void end_asking(const char* reason, const Watch* but = nullptr);
   void heard(Watch& watch);
   void object(Watch& watch, std::string_view text);
   void over(Watch& watch, const char* reason);
@@ -54,14 +56,14 @@
   Address address_;
   At at_;
   Listener& listener_;
-  std::unique_ptr<Watch> standing_;  // has answered; may have fallen silent since
-  std::unique_ptr<Watch> asking_;    // has not answered yet
-  std::int64_t version_ = -1;        // last heard of at this address
+  std::unique_ptr<Watch> standing_;             // has answered; may have fallen silent since
+  std::vector<std::unique_ptr<Watch>> asking_;  // have not answered yet, the one asked first in front
+  std::int64_t version_ = -1;                   // last heard of at this address
   bool answered_ = false;
   Span pause_{0};
   std::ranlux24_base chance_;
   Timer silence_;   // of the standing one
-  Timer patience_;  // with the asking one
+  Timer patience_;  // with the asking ones
   Timer again_;
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -80,7 +80,7 @@
     for (int i = 0; i < count; ++i)
       call(events[static_cast<std::size_t>(i)].data.u64, events[static_cast<std::size_t>(i)].events);
     fire_due();
-    buried_.clear();
+    destroyed_later_.clear();
   }
 }
 
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -23,6 +23,8 @@
     virtual ~Handler() = default;
     virtual void ready(std::uint32_t events) = 0;
   };
+  // Handed to ready() in place of an event's bits: whatever stands to be read is to be read, an end included.
+  static constexpr std::uint32_t kLook = 1u << 24;
   // What a descriptor is known by. An event that was on its way when it was dropped reaches nobody.
   using Token = std::uint64_t;
 
@@ -36,7 +38,7 @@
   // Calls the handler again in the next round: it stopped before its descriptor had nothing more.
   void again(Token token, std::uint32_t events) { again_.emplace_back(token, events); }
   // Destroyed when the round is over, as its own call may be what runs now.
-  void bury(std::unique_ptr<Handler> handler) { buried_.push_back(std::move(handler)); }
+  void destroy_later(std::unique_ptr<Handler> handler) { destroyed_later_.push_back(std::move(handler)); }
   void run();
   void stop() { running_ = false; }
   // Read into by whoever is called; what is there counts until that call returns.
@@ -62,7 +64,7 @@
   std::vector<Place> places_;
   std::vector<std::uint32_t> free_places_;
   std::vector<std::pair<Token, std::uint32_t>> again_;
-  std::vector<std::unique_ptr<Handler>> buried_;
+  std::vector<std::unique_ptr<Handler>> destroyed_later_;
   std::vector<Timer*> timers_;  // a heap, the earliest first
   std::unique_ptr<std::array<char, 64 * 1024>> scratch_;
   bool running_ = true;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -15,8 +15,10 @@
 
 // Between two pieces of an answer: a network's first repeat of a lost segment comes in 200 ms.
 constexpr Span kGap = 250ms;
-// What comes unasked comes right behind an answer: for so long a connection is not used again.
-constexpr Span kSettle = 5ms;
+// What comes unasked comes right behind an answer, up to 4 ms as measured (docs/incidents/rare-faults.md):
+// for five times as long a connection is not used again, as the next answer on it could not be told from
+// that.
+constexpr Span kSettle = 20ms;
 
 // The client's words, but for `d`, which tells how long this gatekeeper waits.
 void append_marks(std::string& out, std::string_view marks, Span limit) {
@@ -59,6 +61,10 @@
 
   void ready(std::uint32_t events) override {
     const bool was_up = stream_.up();
+    // It has waited unwritten, and never ran: its worker may drain by now, its repeat be forgotten there.
+    const bool writes = (events & EPOLLOUT) && !(events & (EPOLLERR | EPOLLHUP)) && !stream_.all_written();
+    if (writes && use_ == Use::upstream_try && (outdated() || !servers_.listener_.may_still_go(call_, try_)))
+      return end("lapsed", Outcome::not_sent);
     if (!stream_.wake(events)) {
       if (stream_.end() != End::open) end("refused", Outcome::no_route);
       return;
@@ -82,7 +88,7 @@
     std::erase(servers_.workers_.at(worker_).idle, this);
     const auto own = std::find_if(servers_.conns_.begin(), servers_.conns_.end(),
                                   [&](const auto& one) { return one.get() == this; });
-    servers_.loop_.bury(std::move(*own));
+    servers_.loop_.destroy_later(std::move(*own));
     std::swap(*own, servers_.conns_.back());
     servers_.conns_.pop_back();
     if (use_ != Use::idle) finish(outcome);
@@ -91,7 +97,7 @@
   // Whether nothing unasked stands on it, be it an end; otherwise it ends.
   bool usable() {
     if (stream_.quiet()) return true;
-    ready(EPOLLIN | EPOLLRDHUP);
+    ready(Loop::kLook);
     return false;
   }
   WorkerId worker() const { return worker_; }
--- a/src/net/servers.hpp
+++ b/src/net/servers.hpp
@@ -23,6 +23,9 @@
     // send(), cancel() and probe().
     virtual void try_ended(CallId call, std::size_t upstream_try, WorkerId worker, Outcome outcome, Span took,
                            std::string_view value, double true_units) = 0;
+    // Asked before bytes of a try are written that had to wait, for its connection or for room on it: whether
+    // what allowed it still does.
+    virtual bool may_still_go(CallId call, std::size_t upstream_try) = 0;
     virtual void probe_ended(WorkerId worker, Outcome outcome, Span took) = 0;
   };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -66,8 +66,8 @@
 void Stream::resume() {
   if (!paused_) return;
   paused_ = false;
-  look_again_ = true;
-  loop_.again(token_, EPOLLIN | EPOLLRDHUP);  // an end may have come meanwhile
+  resumed_ = true;
+  look_again();  // an end may have come meanwhile
 }
 
 bool Stream::quiet() const {
@@ -75,6 +75,12 @@
   return recv(fd_.get(), &next, 1, MSG_PEEK) < 0 && errno == EAGAIN;
 }
 
+bool Stream::ended_by_peer() const {
+  char next;
+  const ssize_t got = recv(fd_.get(), &next, 1, MSG_PEEK);
+  return got == 0 || (got < 0 && errno != EAGAIN);
+}
+
 void Stream::end_sending() { shutdown(fd_.get(), SHUT_WR); }
 
 void Stream::close() {
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -22,14 +22,14 @@
   // returns how many bytes it has done with. What it leaves is kept, and an empty stream keeps no memory.
   template <typename Take>
   void read(std::uint32_t events, Take take) {
-    if (std::exchange(look_again_, false) && !in_.empty()) keep(in_, take(std::string_view(in_)));
+    if (std::exchange(resumed_, false) && !in_.empty()) keep(in_, take(std::string_view(in_)));
     // Sixteen scratches are more than any answer; a longer sender waits for the others' turn.
     for (int turns = 0; end_ == End::open && !paused_; ++turns) {
       if (turns == 16) return loop_.again(token_, events);
       const std::string_view unread = receive();
       if (unread.empty()) return;
       keep(unread, take(unread));
-      if (drained_ && !(events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))) return;
+      if (drained_ && !(events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR | Loop::kLook))) return;
     }
   }
   // Writes what the system takes and keeps the rest. A connection that breaks is told by its event.
@@ -38,7 +38,12 @@
   // Nothing more is read until resumed: the other side does not take its answers.
   void pause() { paused_ = true; }
   void resume();
+  bool paused() const { return paused_; }
+  // Reads in the next round, though no event may come.
+  void look_again() { loop_.again(token_, Loop::kLook); }
   void end_sending();
+  void drop_unread() { in_ = std::string(); }
+  void drop_unwritten() { out_ = std::string(); }
   // The other side sees it at once; what was read stays valid until the owner's call returns.
   void close();
 
@@ -54,6 +59,10 @@
   std::string_view unread() const { return in_; }
   // Whether nothing stands to be read, not even an end.
   bool quiet() const;
+  // Whether nothing but an end stands to be read.
+  bool ended_by_peer() const;
+  // Whether the last read left nothing, as far as one can tell.
+  bool read_out() const { return drained_; }
 
  private:
   std::string_view receive();
@@ -67,7 +76,7 @@
   bool connected_;
   bool drained_ = false;
   bool paused_ = false;
-  bool look_again_ = false;
+  bool resumed_ = false;
   End end_ = End::open;
 };
 
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -233,7 +233,7 @@
     std::erase(idle_[conn.target_], &conn);
     const auto own =
         std::find_if(conns_.begin(), conns_.end(), [&](auto& one) { return one.get() == &conn; });
-    loop_.bury(std::move(*own));
+    loop_.destroy_later(std::move(*own));
     conns_.erase(own);
   }
 
--- a/src/standin/stand.cpp
+++ b/src/standin/stand.cpp
@@ -60,7 +60,7 @@
   if (std::exchange(conn.ended_, true)) return;
   conn.stream_.close();
   const auto own = std::find_if(conns_.begin(), conns_.end(), [&](auto& one) { return one.get() == &conn; });
-  loop_.bury(std::move(*own));
+  loop_.destroy_later(std::move(*own));
   conns_.erase(own);
 }
 
