--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -68,7 +68,7 @@
 void Loop::run() {
   std::array<epoll_event, 256> events;
   std::vector<std::pair<Token, std::uint32_t>> more;
-  while (running_) {
+  for (running_ = true; running_;) {
     const Span busy = std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - ticked_);
     const int count = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), patience());
     if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
