--- a/test/choice_test.cpp
+++ b/test/choice_test.cpp
@@ -595,5 +595,56 @@
   CHECK(bench.effects.done.back() == "send 3 to 1");
 }
 
+// Incident "rare faults": a try decided in time was written when its connection came up, up to 1.5 s later.
+TEST_CASE("a try whose bytes waited may go only while all that allowed it still holds") {
+  Bench bench;
+  Worker& worker = bench.worker(1);
+  const auto may_go = [&](Span now, CallId id, std::size_t at) {
+    return bench.choice.may_still_go(now, id, at);
+  };
+  for (const CallId id : {1, 2, 3}) {
+    ApiCall& call = bench.call(id, id - 1);  // idempotent, tokened with a recall of 4 s, non-idempotent
+    call.tries.push_back({1, "", 0, 0s, false, true});
+    call.tries.push_back({1, "", 0, 1s, true, true});
+  }
+  CHECK(may_go(5s, 1, 1));
+  CHECK(may_go(3985ms, 2, 1));
+  CHECK_FALSE(may_go(3986ms, 2, 1));  // two ticks and 10 ms before it is forgotten there
+  CHECK_FALSE(may_go(1s, 3, 1));
+  CHECK(may_go(9s, 3, 0));  // nothing before it
+  bench.choice.state.calls.at(3).tries[0].may_have_run = false;
+  CHECK(may_go(9s, 3, 1));
+  CHECK_FALSE(may_go(1s, 1, 2));  // no such try
+  CHECK_FALSE(may_go(1s, 9, 0));  // its client has left, or it was given up
+  worker.phase = Phase::draining;
+  CHECK_FALSE(may_go(1s, 1, 1));
+  worker.phase = Phase::ready;
+  worker.started = 500ms;  // warm after 10 s, its share counted by the second
+  CHECK(may_go(1250ms, 1, 1));
+  CHECK_FALSE(may_go(1251ms, 1, 1));
+  CHECK(may_go(10500ms, 1, 1));
+  bench.choice.state.workers.erase(1);
+  CHECK_FALSE(may_go(1s, 1, 1));
+}
+
+TEST_CASE("a call cut short is answered by then, whatever its client grants; a longer time changes nothing") {
+  Bench bench;
+  bench.worker(1);
+  bench.choice.call_arrives(0s, 1, "c", 0, 0, 1, 0, 3, 3s, false);
+  CHECK(bench.effects.done.back() == "send 1 to 1");
+  const Span due = bench.choice.state.calls.at(1).due;
+  bench.choice.cut_short(1ms, 1, 5s);
+  CHECK(bench.choice.state.calls.at(1).due == due);
+  bench.choice.cut_short(1ms, 1, 101ms);
+  bench.choice.wakes(95ms);
+  CHECK(bench.effects.done.back() == "send 1 to 1");
+  bench.choice.wakes(96ms);  // three ticks for its way out
+  CHECK(bench.effects.done.back() == "cancel 1");
+  CHECK(bench.choice.state.calls.empty());
+  CHECK(bench.choice.state.dues.empty());
+  bench.choice.cut_short(97ms, 1, 1s);  // no longer known
+  CHECK(bench.choice.state.dues.empty());
+}
+
 }  // namespace
 }  // namespace ironquay
