A drain's last moment goes by the settings' longest client timeout, also under a second

Cause, read off the code: the time after which SIGKILL may come is the longest client timeout and 0.7 s. Clients took a second for it where all timeouts are shorter, as the linger of a half-closed connection is never less. With 400 ms a call that came 0.7 s after SIGTERM was given 400 ms, the kill may come in 400 ms as well.

The linger is a value of its own now. Test: a call taken 0.7 s into such a drain had 399.7 ms left before, at most 100 ms now.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -336,7 +336,7 @@
     idle_since_ = clients_.loop_.now();
     stream_.end_sending();
     stream_.drop_unread();
-    if (!linger_.set()) linger_.in(clients_.drains_ ? clients_.longest_wait_ : kLinger);
+    if (!linger_.set()) linger_.in(clients_.drains_ ? clients_.drain_linger_ : kLinger);
     clients_.lingering_.splice(clients_.lingering_.end(), *home_, place_);
     home_ = &clients_.lingering_;
   }
@@ -412,12 +412,12 @@
       socket_(bind_at(address)),
       most_(std::max<std::size_t>(descriptors, 1)),
       memory_(memory),
-      longest_wait_(kLinger),
       retry_(loop, [this] { accept_all(); }),
       sweep_(loop, [this] { end_idle(); }),
       draining_(loop, [this] { look_at_drain(); }) {
   if (!socket_) throw std::system_error(errno, std::generic_category(), "listening at " + text_of(address));
   for (const Route& route : born.terms.routes) longest_wait_ = std::max(longest_wait_, route.client_timeout);
+  drain_linger_ = std::max(kLinger, longest_wait_);
   sweep_.in(kSweep);
 }
 
@@ -547,7 +547,7 @@
   const bool owed =
       std::any_of(conns_.begin(), conns_.end(), [](const auto& c) { return !c->owes_nothing(); });
   const bool open = !conns_.empty() || !lingering_.empty();
-  const Span most = kTakeOn + (owed ? std::max(longest_wait_, kLastBytes) : longest_wait_);
+  const Span most = kTakeOn + (owed ? std::max(drain_linger_, kLastBytes) : drain_linger_);
   if (coming || calls_ > 0 || (open && now - drain_began_ <= most)) return draining_.in(20ms);
   std::exchange(drained_, nullptr)();
 }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -56,7 +56,8 @@
   std::optional<Loop::Token> token_;  // once it is open
   std::size_t most_;                  // connections
   std::size_t memory_;                // bytes of both of the below
-  Span longest_wait_;                 // of any client for an answer
+  Span longest_wait_{0};              // of any client for an answer
+  Span drain_linger_{0};              // in a drain, of a connection that is half-closed
   std::size_t held_ = 0;              // bytes of calls, and of answers that wait for those before them
   std::size_t backlog_ = 0;           // bytes of answers not taken by the system
   std::size_t calls_ = 0;
--- a/test/rare_fault_test.cpp
+++ b/test/rare_fault_test.cpp
@@ -257,6 +257,18 @@
   REQUIRE(deployment.exit_code() == 0);
 }
 
+TEST_CASE("where all clients wait for less than a second the kill comes sooner, and so do the answers") {
+  FrontAlone front(25, 400);  // killed 1.1 s after the signal at the earliest
+  Line client = front.connect();
+  client.say(lookup("1"));
+  REQUIRE(front.run_until_called(1));
+  front.clients.drain([] {});
+  front.run_for(700ms);
+  client.say(lookup("2"));  // on a connection that a call keeps open
+  REQUIRE(front.run_until_called(2));
+  REQUIRE(front.lefts.back() <= 100ms);
+}
+
 TEST_CASE("a client that takes its answers slowly gets all of them, though the drain's time is over") {
   FrontAlone front(25, 1000);
   const std::string value = value_of(std::string(1 << 20, 'v'));
