--- a/test/rare_fault_test.cpp
+++ b/test/rare_fault_test.cpp
@@ -35,6 +35,19 @@
     REQUIRE(readable(fd_, kPatience));
   }
   std::string address() const { return text_of(address_); }
+  // As the system's table of sockets tells: state 2 is a SYN without an answer.
+  void wait_for_dial() {
+    char dialled[16];
+    snprintf(dialled, sizeof dialled, ":%04X 02 ", ntohs(address_.sin_port));
+    std::string table;
+    for (int waited = 0; waited < kPatience && table.find(dialled) == std::string::npos; waited += 5) {
+      std::ostringstream text;
+      text << std::ifstream("/proc/net/tcp").rdbuf();
+      table = text.str();
+      std::this_thread::sleep_for(5ms);
+    }
+    REQUIRE(table.find(dialled) != std::string::npos);
+  }
   void make_room() { accept(); }
   Line accept() {
     REQUIRE(readable(fd_, kPatience));
@@ -423,12 +436,10 @@
   std::string asked;
   Line watch = deployment.take_watch(asked);
   watch.say(deployment.chunk(deployment.hosts(42, false, "terminating", 1).dump() + "\n"));
-  std::this_thread::sleep_for(20ms);
   client.say(resp_of({"CALL.POST", kCustomer, "1", "c=pay,t=team,d=5000,units=2,spread=1,first=0", "BODY"}));
-  std::this_thread::sleep_for(50ms);
+  late.wait_for_dial();
   watch.say(deployment.chunk(deployment.hosts(43, false, "terminating", 0).dump() + "\n") +
             deployment.chunk(deployment.hosts(44, false, "in_service", 1).dump() + "\n"));
-  std::this_thread::sleep_for(20ms);
   late.make_room();
   Line up = late.accept();
   REQUIRE(up.ends());
@@ -448,16 +459,14 @@
   std::string asked;
   Line watch = deployment.take_watch(asked);
   watch.say(deployment.chunk(deployment.hosts(42, false, "terminating", 0).dump() + "\n"));
-  std::this_thread::sleep_for(20ms);
   client.say(
       resp_of({"CALL.POST", kCustomer, "1", "c=order,t=team,d=5000,k=q,units=2,spread=1,first=0", "B"}));
   Line worker = deployment.next_try().first;
   worker.command();
   watch.say(deployment.chunk(deployment.hosts(43, false, "in_service", 0).dump() + "\n") +
             deployment.chunk(deployment.hosts(44, false, "terminating", 1).dump() + "\n"));
-  std::this_thread::sleep_for(20ms);
   worker.break_off();  // it may have run; the repeat waits for the late one
-  std::this_thread::sleep_for(20ms);
+  late.wait_for_dial();
   late.make_room();
   Line up = late.accept();
   REQUIRE(up.ends());
@@ -472,7 +481,7 @@
   deployment.config["settings"]["bounds"]["cancelling"] = false;
   Line client = deployment.client(), leaver = deployment.client();
   leaver.say(lookup("1", std::string(kLookup) + "5000"));
-  std::this_thread::sleep_for(50ms);
+  late.wait_for_dial();
   leaver.close();
   REQUIRE(deployment.logs("reason=client-eof"));
   late.make_room();
