--- a/review/standin.hpp
+++ b/review/standin.hpp
@@ -633,7 +633,8 @@
     std::ifstream file(log_path());
     std::vector<std::string> all;
     for (std::string line; std::getline(file, line);) all.push_back(line);
-    const std::size_t start = all.size() > static_cast<std::size_t>(lines) ? all.size() - static_cast<std::size_t>(lines) : 0;
+    const auto most = static_cast<std::size_t>(lines);
+    const std::size_t start = all.size() > most ? all.size() - most : 0;
     for (std::size_t i = start; i < all.size(); ++i) record().line("log of n%d: %s", number_, all[i].c_str());
   }
 
