--- a/review/standin.hpp
+++ b/review/standin.hpp
@@ -524,6 +524,11 @@
   throw CannotRun("deploy/balancer.toml has no run");
 }
 
+struct Limits {
+  int memory_mb = 192;
+  int sockets = 1024;
+};
+
 class Gateway {
  public:
   Gateway(int number, std::string ip) : number_(number), ip_(std::move(ip)) {
@@ -542,13 +547,15 @@
 
   // Starts `run` from the root by /bin/sh, as the platform does.
   void start(const std::string& root, const std::string& folder, const std::string& discovery,
-             const std::string& counter, const std::vector<std::string>& peers, const std::string& settings) {
+             const std::string& counter, const std::vector<std::string>& peers, const std::string& settings,
+             const Limits& limits = Limits()) {
     folder_ = folder;
     const std::string config = folder + "/config-" + std::to_string(number_) + ".json";
     const std::string listen = ip_ + ":" + std::to_string(port_);
     std::ofstream out(config);
     out << R"({"name":"n)" << number_ << R"(","listen":")" << listen << R"(","discovery":")" << discovery
-        << R"(","seed":"8c1f30d27a5be96)" << number_ << R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},)"
+        << R"(","seed":"8c1f30d27a5be96)" << number_ << R"(","limits":{"cores":1.0,"memory_mb":)"
+        << limits.memory_mb << R"(,"sockets":)" << limits.sockets << R"(},)"
         << R"("peer_listen":")" << peer() << R"(","peers":[)";
     for (std::size_t i = 0; i < peers.size(); ++i) out << (i ? "," : "") << '"' << peers[i] << '"';
     out << R"(],"counter":")" << counter << R"(","known":{"seq":0,"whole":true,"hosts":[]},"settings":)" << settings
@@ -610,6 +617,13 @@
       std::this_thread::sleep_for(std::chrono::microseconds(50));
     }
   }
+  // The memory that the process has in use, in kB; 0 if it has ended.
+  long resident_kb() const {
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(file, line);)
+      if (line.rfind("VmRSS:", 0) == 0) return std::atol(line.c_str() + 6);
+    return 0;
+  }
   void go_on() const { signal(SIGCONT); }
 
   // Whether the process has ended by itself. Describes how in `text`.
