--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -108,15 +108,15 @@
 }
 
 bool body(const std::string& root, const std::string& folder, bool trouble) {
-  Counter counter("127.0.0.1");
-  Agent agent("127.0.0.1");
+  // Servers are never destroyed: their threads run until the program ends.
+  Counter& counter = *new Counter("127.0.0.1");
+  Agent& agent = *new Agent("127.0.0.1");
   counter.start();
   agent.start();
-  std::vector<std::unique_ptr<Worker>> workers;
   for (int i = 0; i < 6; ++i) {
-    workers.push_back(std::make_unique<Worker>("127.0.0.1", i, trouble));
-    workers.back()->start();
-    agent.set("s-" + std::to_string(i), workers.back()->address(), i / 3, "in_service");
+    Worker& worker = *new Worker("127.0.0.1", i, trouble);
+    worker.start();
+    agent.set("s-" + std::to_string(i), worker.address(), i / 3, "in_service");
   }
   Gateway first(0, "127.0.0.10");
   Gateway second(1, "127.0.0.11");
