--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -8,8 +8,8 @@
 
 using namespace standin;
 
-constexpr Limits kLimits{32, 640};      // within "32 to 192 MB ... and 256 to 1,024 descriptors"
-constexpr int kBadClients = 390;       // "by the hundreds"
+constexpr Limits kLimits{32, 512};      // within "32 to 192 MB ... and 256 to 1,024 descriptors"
+constexpr int kBadClients = 310;       // "by the hundreds"
 constexpr int kCommands = 900;         // "hundreds of commands at once"
 constexpr int kHalfBytes = 60000;      // the part of a last command, whose body has 65,536 bytes
 constexpr int kBadThreads = 8;
