--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
-// Workers spoil some of their answers: the length of the value does not fit. Clients compare what they are served with
-// the value that was made for their request.
+// Workers spoil some of their answers: the length of the value does not fit. Clients compare what they are
+// served with the value that was made for their request.
 #include <random>
 
 #include "standin.hpp"
@@ -10,8 +10,8 @@
 
 constexpr double kSeconds = 25;
 constexpr int kClients = 12;
-constexpr int kSpoiltOneIn = 8;       // one answer in so many is spoilt, at every worker
-constexpr int kMaxWrongLength = 16;   // the stated length is wrong by 1 to so many bytes, either way
+constexpr int kSpoiltOneIn = 8;      // one answer in so many is spoilt, at every worker
+constexpr int kMaxWrongLength = 16;  // the stated length is wrong by 1 to so many bytes, either way
 constexpr int kAnswerSlackMs = 500;
 
 Ledger ledger;
@@ -41,11 +41,12 @@
       const std::string value = value_of(words[2]);
       const int error = draw_error();
       spoilt_before = error != 0;
-      const std::string answer = "*3\r\n$" + std::to_string(static_cast<int>(value.size()) + error) + "\r\n" + value +
-                                 "\r\n$-1\r\n$-1\r\n";
+      const std::string answer = "*3\r\n$" + std::to_string(static_cast<int>(value.size()) + error) + "\r\n" +
+                                 value + "\r\n$-1\r\n$-1\r\n";
       if (error != 0) {
         ++spoilt;
-        record().line("worker %d: spoilt answer to %s, length wrong by %+d", number_, words[2].c_str(), error);
+        record().line("worker %d: spoilt answer to %s, length wrong by %+d", number_, words[2].c_str(),
+                      error);
       }
       if (!send_all(fd, answer)) return;
     }
@@ -80,11 +81,13 @@
     Sent sent{"CALL.GET", customer, text, "rate-lookup", "grand-compte", "", "", false};
     int timeout_ms = 3000;
     if (i % 4 == 3) {
-      sent = {"CALL.POST", customer, text, "quote-bind", "grand-compte", std::string("5c0f") + text, "household", true};
+      sent = {"CALL.POST", customer, text, "quote-bind", "grand-compte", std::string("5c0f") + text,
+              "household", true};
       timeout_ms = 4000;
     }
     ledger.add(sent);
     ++requests;
+    record().line("client %d: sends %s (%s) to n%d", number, text, sent.route.c_str(), gateway.number());
     connection.send(request(sent, timeout_ms, 2));
     const Answer answer = connection.answer(now() + (timeout_ms + kAnswerSlackMs) / 1000.0);
     record().line("client %d: %s (%s): %s %s", number, text, sent.route.c_str(), answer.name(),
@@ -133,10 +136,11 @@
   std::string end;
   for (Gateway* gateway : {&first, &second})
     if (gateway->has_ended(end)) record().line("platform: n%d has ended: %s", gateway->number(), end.c_str());
-  record().line("requests %ld: served %ld, refused %ld, failed %ld, without an answer %ld; spoilt answers %ld; "
-                "served with data that no worker made for the request: %ld",
-                requests.load(), served.load(), refused.load(), failed.load(), unanswered.load(), spoilt.load(),
-                wrong.load());
+  record().line(
+      "requests %ld: served %ld, refused %ld, failed %ld, without an answer %ld; spoilt answers %ld; "
+      "served with data that no worker made for the request: %ld",
+      requests.load(), served.load(), refused.load(), failed.load(), unanswered.load(), spoilt.load(),
+      wrong.load());
   if (served == 0) throw CannotRun("no request was served");
   return wrong == 0;
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
-// Bad clients connect by the hundreds, send hundreds of commands at once and stop in the middle of the last one. The
-// platform watches the gateway's memory and kills it over its limit, as the deployment page says.
+// Bad clients connect by the hundreds, send hundreds of commands at once and stop in the middle of the last
+// one. The platform watches the gateway's memory and kills it over its limit, as the deployment page says.
 #include <sys/resource.h>
 
 #include "standin.hpp"
@@ -8,10 +8,10 @@
 
 using namespace standin;
 
-constexpr Limits kLimits{32, 512};      // within "32 to 192 MB ... and 256 to 1,024 descriptors"
-constexpr int kBadClients = 310;       // "by the hundreds"
-constexpr int kCommands = 900;         // "hundreds of commands at once"
-constexpr int kHalfBytes = 60000;      // the part of a last command, whose body has 65,536 bytes
+constexpr Limits kLimits{32, 512};  // within "32 to 192 MB ... and 256 to 1,024 descriptors"
+constexpr int kBadClients = 310;    // "by the hundreds"
+constexpr int kCommands = 900;      // "hundreds of commands at once"
+constexpr int kHalfBytes = 60000;   // the part of a last command, whose body has 65,536 bytes
 constexpr int kBadThreads = 8;
 constexpr double kSeconds = 8;
 constexpr int kAnswerSlackMs = 500;
@@ -59,9 +59,11 @@
     ++requests;
     const std::string bytes = request(sent, 3000, 2);
     const double sent_at = now();
+    record().line("client %d: sends %s to n%d", number, text, gateway.number());
     connection.send(bytes);
     Answer answer = connection.answer(sent_at + 3 + kAnswerSlackMs / 1000.0);
-    // The gateway may close a connection between requests; then the request is sent once more on a new connection.
+    // The gateway may close a connection between requests; then the request is sent once more on a new
+    // connection.
     if (answer.kind == Answer::Kind::ended && connection.open(gateway.ip(), gateway.port())) {
       record().line("client %d: %s: connection closed, sent once more", number, text);
       connection.send(bytes);
@@ -100,12 +102,14 @@
   Gateway second(1, "127.0.0.11");
   const std::vector<std::string> peers = {first.peer(), second.peer()};
   for (Gateway* gateway : {&first, &second})
-    gateway->start(root, folder, agent.address(), counter.address(), peers, settings(gateway->number(), 2), kLimits);
+    gateway->start(root, folder, agent.address(), counter.address(), peers, settings(gateway->number(), 2),
+                   kLimits);
   for (Gateway* gateway : {&first, &second}) gateway->wait_ready();
 
   const double until = now() + kSeconds;
   std::vector<std::thread> clients;
-  for (int i = 0; i < 8; ++i) clients.emplace_back(run_client, i, std::cref(i % 2 == 0 ? first : second), until);
+  for (int i = 0; i < 8; ++i)
+    clients.emplace_back(run_client, i, std::cref(i % 2 == 0 ? first : second), until);
 
   std::atomic<bool> killed{false};
   std::atomic<long> peak{0};
@@ -125,9 +129,10 @@
   std::vector<std::unique_ptr<ClientConnection>> bad;
   wait_s(1);
   if (trouble) {
-    const std::string half = command({"CALL.POST", "00000000b4d66000", "ffffffffffffffff",
-                                      "c=quote-bind,t=grand-compte,d=4000,k=ffffffffffffffff,units=1,spread=2,first=0",
-                                      std::string(65536, 'x')});
+    const std::string half =
+        command({"CALL.POST", "00000000b4d66000", "ffffffffffffffff",
+                 "c=quote-bind,t=grand-compte,d=4000,k=ffffffffffffffff,units=1,spread=2,first=0",
+                 std::string(65536, 'x')});
     for (int i = 0; i < kBadClients; ++i) bad.push_back(std::make_unique<ClientConnection>());
     std::atomic<int> sent_all{0};
     std::vector<std::thread> senders;
@@ -150,8 +155,14 @@
           char id[32];
           for (int c = 0; c < kCommands; ++c) {
             std::snprintf(id, sizeof id, "fb%06x%08x", i, c);
-            const Sent sent{"CALL.GET",     "00000000b4d6" + std::string(id + 4, 4), id,
-                            c == 0 ? "rate-lookup" : "no-such-class", "grand-compte", "", "", false};
+            const Sent sent{"CALL.GET",
+                            "00000000b4d6" + std::string(id + 4, 4),
+                            id,
+                            c == 0 ? "rate-lookup" : "no-such-class",
+                            "grand-compte",
+                            "",
+                            "",
+                            false};
             if (c == 0) ledger.add(sent);
             bytes += request(sent, 3000, 2);
           }
--- a/review/standin.hpp
+++ b/review/standin.hpp
@@ -1,5 +1,5 @@
-// Small stand-ins for the review cases: a discovery agent, a counter, workers, clients and the platform that starts
-// the gateways. They follow the operators' protocol page. Every address is in 127.0.0.0/8.
+// Small stand-ins for the review cases: a discovery agent, a counter, workers, clients and the platform that
+// starts the gateways. They follow the operators' protocol page. Every address is in 127.0.0.0/8.
 #pragma once
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -127,7 +127,8 @@
 inline int free_port(const std::string& ip, int type) {
   const int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
   sockaddr_in address = to_address(ip, 0);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) throw CannotRun("no free port at " + ip);
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0)
+    throw CannotRun("no free port at " + ip);
   socklen_t size = sizeof address;
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(fd);
@@ -280,7 +281,8 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     const double time = now();
     auto& entry = names_[words[1]];
-    if (entry.second <= time) entry = {0, time + std::clamp(std::atof(words[3].c_str()), 1.0, 60000.0) / 1000};
+    if (entry.second <= time)
+      entry = {0, time + std::clamp(std::atof(words[3].c_str()), 1.0, 60000.0) / 1000};
     entry.first += std::atof(words[2].c_str());
     char text[64];
     std::snprintf(text, sizeof text, "%.7g", entry.first);
@@ -419,7 +421,8 @@
   enum class Kind { value, busy, error, ended, late } kind = Kind::late;
   std::string text;
   const char* name() const {
-    static const char* const names[] = {"value", "refused", "failed", "connection ended, no answer", "no answer"};
+    static const char* const names[] = {"value", "refused", "failed", "connection ended, no answer",
+                                        "no answer"};
     return names[static_cast<int>(kind)];
   }
 };
@@ -480,7 +483,8 @@
 
 // ---- The platform: settings, configuration, processes
 
-// The settings of a small deployment of `rating-laval`, with the figures of its site file and of the wire page.
+// The settings of a small deployment of `rating-laval`, with the figures of its site file and of the wire
+// page.
 inline std::string settings(int me, int siblings) {
   std::ostringstream out;
   out << R"({"bounds":{"cancelling":true,"connect_timeout":250.0,"cpu_us_per_request":0.0,"cpu_us_per_s":561830,)"
@@ -519,7 +523,8 @@
     if (line.rfind("run", 0) != 0) continue;
     const auto first = line.find('"');
     const auto last = line.find('"', first + 1);
-    if (first != std::string::npos && last != std::string::npos) return line.substr(first + 1, last - first - 1);
+    if (first != std::string::npos && last != std::string::npos)
+      return line.substr(first + 1, last - first - 1);
   }
   throw CannotRun("deploy/balancer.toml has no run");
 }
@@ -558,8 +563,8 @@
         << limits.memory_mb << R"(,"sockets":)" << limits.sockets << R"(},)"
         << R"("peer_listen":")" << peer() << R"(","peers":[)";
     for (std::size_t i = 0; i < peers.size(); ++i) out << (i ? "," : "") << '"' << peers[i] << '"';
-    out << R"(],"counter":")" << counter << R"(","known":{"seq":0,"whole":true,"hosts":[]},"settings":)" << settings
-        << "}\n";
+    out << R"(],"counter":")" << counter << R"(","known":{"seq":0,"whole":true,"hosts":[]},"settings":)"
+        << settings << "}\n";
     out.close();
     const std::string run = run_command(root);
     const std::string temporary = folder + "/tmp-" + std::to_string(number_);
@@ -662,9 +667,11 @@
   bool ended_ = false;
 };
 
-// The frame of a case: `arguments` are the root of the repository, a temporary folder and the path of the record.
-inline int run_case(int argc, char** argv,
-                    const std::function<bool(const std::string& root, const std::string& folder, bool trouble)>& body) {
+// The frame of a case: `arguments` are the root of the repository, a temporary folder and the path of the
+// record.
+inline int run_case(
+    int argc, char** argv,
+    const std::function<bool(const std::string& root, const std::string& folder, bool trouble)>& body) {
   signal(SIGPIPE, SIG_IGN);
   if (argc != 4) {
     std::fprintf(stderr, "usage: case ROOT FOLDER RECORD\n");
