Forward a worker's value only if its response is whole

What callers saw: values that no worker made, the worker's value with protocol bytes "\r\n$-1" or "\r\n$-1\r\n$-1" behind it.

Cause: of the array of three elements that a response is, only the first had to be complete. UpstreamConnection::on_timeout used the value when the rest of the response had not arrived after 250 ms. resp::parse_array returned it when an element after it was malformed. on_value_reply took arrays of any size. A value whose stated length ends at the line end of a later element thus passed.

Change: a response with a value counts if it is an array of three complete, well formed elements with no further element behind it. A response that stops halfway ends as malformed_response, logged as incomplete-response. Why it works: a length that does not fit leaves too few elements, too many, or one that is not an element.

Two entries of the test "a valid value is forwarded even if unexpected bytes follow it" were wrong: they asked that a value be served though the element after it is malformed or never ends, which is the fault. They moved, with other forms, to "a value is not forwarded if an element of its response is missing or malformed", which asks for the opposite as strictly. So did the parser's case.

--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -1,6 +1,7 @@
 #include "net/resp.hpp"
 
 #include <charconv>
+#include <limits>
 
 namespace ironquay::net::resp {
 namespace {
@@ -92,8 +93,6 @@
     const bool is_first = reply.element_count == 0;
     const ParseStatus status = is_first ? parse_bulk_string(bytes, offset, element, max_value_bytes)
                                         : parse_bulk_string_or_line(bytes, offset, element, max_value_bytes);
-    reply.trailing_malformed = !is_first && status == ParseStatus::malformed;
-    if (reply.trailing_malformed) break;
     if (status != ParseStatus::complete) return status;
   }
   return ParseStatus::complete;
@@ -147,6 +146,13 @@
   return status;
 }
 
+bool begins_with_bulk_string(std::string_view bytes) {
+  long length = 0;
+  std::size_t offset = 0;
+  return parse_length_line(bytes, offset, '$', std::numeric_limits<long>::max(), length) ==
+         ParseStatus::complete;
+}
+
 std::string_view find_field(std::string_view list, std::string_view name) {
   std::string_view found;
   for_each_field(list, [&](std::string_view field, std::string_view value) {
--- a/src/net/resp.hpp
+++ b/src/net/resp.hpp
@@ -47,16 +47,17 @@
   bool is_null = false;
   // The elements, if the reply is an array. The first one is a bulk string, the others may be lines.
   std::array<Element, 4> elements;
-  std::size_t element_count = 0;  // the number of elements that have been parsed
-  // Whether an element after the first is malformed. Nothing further on the connection can be parsed then.
-  bool trailing_malformed = false;
-  std::size_t wire_bytes = 0;  // the size of the parsed part of the reply on the wire
+  std::size_t element_count = 0;
+  std::size_t wire_bytes = 0;  // the size of the reply on the wire
 };
 
-// Parses the reply at the start of `bytes`. If the result is `incomplete`, `reply` contains the elements that
-// are complete. A bulk string of more than `max_value_bytes` is malformed.
+// Parses the reply at the start of `bytes`. `reply` is valid only if the result is `complete`. A bulk string
+// of more than `max_value_bytes` is malformed.
 ParseStatus parse_reply(std::string_view bytes, Reply& reply, std::size_t max_value_bytes = kMaxValueBytes);
 
+// Whether `bytes` begin with the length line of a bulk string, or with a null bulk string.
+bool begins_with_bulk_string(std::string_view bytes);
+
 // Calls visit(name, value) for each field of a list such as "used=37,cost=4", in order. Skips entries without
 // "=".
 template <typename Visit>
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -14,6 +14,9 @@
 constexpr Duration kResponseGapTimeout = 250ms;
 // One response may take an eighth of the memory for incomplete responses, so that it leaves room for others.
 constexpr std::size_t kBudgetDivisorPerResponse = 8;
+// A worker's response with a value has three elements: the value, the cost and the load report. A response
+// with fewer is not whole: if the stated length of the value is wrong, the value includes the other elements.
+constexpr std::size_t kValueReplyElements = 3;
 constexpr std::size_t kMaxLoggedErrorBytes = 80;
 
 }  // namespace
@@ -34,6 +37,8 @@
       return "worker-reset";
     case UpstreamCloseReason::malformed_response:
       return "malformed-response";
+    case UpstreamCloseReason::incomplete_response:
+      return "incomplete-response";
     case UpstreamCloseReason::trailing_bytes:
       return "trailing-bytes";
     case UpstreamCloseReason::memory_limit:
@@ -119,13 +124,9 @@
   if (!stream_.connected()) return close(UpstreamCloseReason::connect_timed_out, Outcome::connect_failed);
   if (!stream_.all_written()) return close(UpstreamCloseReason::response_timed_out, Outcome::connect_failed);
   if (stream_.unread().empty()) return close(UpstreamCloseReason::response_timed_out, Outcome::timed_out);
-  out_of_sync_ = true;
-  // A complete value is used even if the rest of the response, such as the load report, is incomplete.
-  resp::Reply reply;
-  resp::parse_reply(stream_.unread(), reply, max_value_bytes());
-  const bool value_used = on_value_reply(reply);
-  close(UpstreamCloseReason::malformed_response,
-        value_used ? Outcome::cancelled : Outcome::malformed_response);
+  // The value is not used even if it seems to be complete. If its stated length is wrong, it may include the
+  // elements that are missing after it.
+  close(UpstreamCloseReason::incomplete_response, Outcome::malformed_response);
 }
 
 std::size_t UpstreamConnection::on_bytes(std::string_view bytes) {
@@ -136,8 +137,11 @@
     wait_for_more_bytes(bytes.size());
     return 0;
   }
-  const bool expected = parsed == resp::ParseStatus::complete && use_ != Use::idle;
-  out_of_sync_ = !expected || reply.trailing_malformed || reply.wire_bytes < bytes.size();
+  // A further element after the response shows that a stated length does not fit: the value may be cut off.
+  const bool is_whole =
+      parsed == resp::ParseStatus::complete && !resp::begins_with_bulk_string(bytes.substr(reply.wire_bytes));
+  const bool expected = is_whole && use_ != Use::idle;
+  out_of_sync_ = !expected || reply.wire_bytes < bytes.size();
   if (!expected || !on_reply(reply)) {
     close(UpstreamCloseReason::malformed_response, Outcome::malformed_response);
   } else if (out_of_sync_) {
@@ -184,15 +188,14 @@
 }
 
 bool UpstreamConnection::on_value_reply(const resp::Reply& reply) {
-  if (use_ != Use::attempt || reply.type != '*' || reply.element_count < 1 || reply.elements[0].is_null)
-    return false;
+  const bool is_value_reply = reply.type == '*' && reply.element_count == kValueReplyElements;
+  if (use_ != Use::attempt || !is_value_reply || reply.elements[0].is_null) return false;
   finish(Outcome::success, reply.elements[0].raw, actual_units(reply));
   return true;
 }
 
 // The units that the worker reports for the request, or 0 if it reports none or an invalid number.
 double UpstreamConnection::actual_units(const resp::Reply& reply) const {
-  if (reply.element_count < 2) return 0;
   const std::string_view cost = resp::find_field(reply.elements[1].text, "cost");
   const char* last = cost.data() + cost.size();
   double units = 0;
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -16,19 +16,20 @@
 
 // Why a connection to a worker was closed, or could not be opened.
 enum class UpstreamCloseReason {
-  attempt_expired,     // the attempt became invalid before it was written
-  connect_refused,     // the connection could not be established
-  connect_timed_out,   // the connection was not established in time
-  response_timed_out,  // the command was not written, or not answered, in time
-  closed_by_worker,    // the worker closed the connection normally
-  reset_by_worker,     // the connection was reset
-  malformed_response,  // the response was unreadable or incomplete, or no command was in flight
-  trailing_bytes,      // more bytes followed a valid response
-  memory_limit,        // incomplete responses exceeded their memory limit
-  cancelled,           // the attempt was cancelled
-  endpoint_changed,    // the worker is draining or gone, or its address or process has changed
-  idle_timeout,        // the connection was idle for too long
-  connection_limit,    // closed to make room for a new one, or not opened for lack of descriptors
+  attempt_expired,      // the attempt became invalid before it was written
+  connect_refused,      // the connection could not be established
+  connect_timed_out,    // the connection was not established in time
+  response_timed_out,   // the command was not written, or not answered, in time
+  closed_by_worker,     // the worker closed the connection normally
+  reset_by_worker,      // the connection was reset
+  malformed_response,   // the response was unreadable, or no command was in flight
+  incomplete_response,  // the response stopped halfway
+  trailing_bytes,       // more bytes followed a valid response
+  memory_limit,         // incomplete responses exceeded their memory limit
+  cancelled,            // the attempt was cancelled
+  endpoint_changed,     // the worker is draining or gone, or its address or process has changed
+  idle_timeout,         // the connection was idle for too long
+  connection_limit,     // closed to make room for a new one, or not opened for lack of descriptors
 };
 // Returns the reason code that is written to the log.
 const char* to_string(UpstreamCloseReason reason);
--- a/test/net/resp_parser_test.cpp
+++ b/test/net/resp_parser_test.cpp
@@ -48,14 +48,14 @@
   REQUIRE(resp::find_field(reply.elements[2].text, "cost") == "4");
 }
 
-TEST_CASE("a value can be used even if the elements after it are malformed or incomplete") {
+TEST_CASE("the elements after the value may be lines, but must be complete and well formed") {
   resp::Reply reply;
   REQUIRE(resp::parse_reply("*3\r\n$1\r\nv\r\n:5\r\n+x=\r\n", reply) == ParseStatus::complete);
   REQUIRE(reply.elements[1].text == "5");
-  REQUIRE(resp::parse_reply("*3\r\n$1\r\nv\r\n$3x\r\n", reply) == ParseStatus::complete);
-  REQUIRE(reply.trailing_malformed);
+  REQUIRE(reply.element_count == 3);
+  REQUIRE(resp::parse_reply("*3\r\n$1\r\nv\r\n$3x\r\n", reply) == ParseStatus::malformed);
+  REQUIRE(resp::parse_reply("*3\r\n$1\r\nv\r\n!\r\n$-1\r\n", reply) == ParseStatus::malformed);
   REQUIRE(resp::parse_reply("*3\r\n$1\r\nv\r\n$9\r\nu", reply) == ParseStatus::incomplete);
-  REQUIRE(reply.element_count == 1);
   REQUIRE(resp::parse_reply("*3\r\n$3000000000\r\n", reply) == ParseStatus::malformed);
 }
 
--- a/test/net/upstream_attempt_test.cpp
+++ b/test/net/upstream_attempt_test.cpp
@@ -61,12 +61,9 @@
 }
 
 TEST_CASE("a valid value is forwarded even if unexpected bytes follow it, and the connection is not reused") {
-  const std::string value = "*3\r\n" + bulk_string("v");
   const std::string complete = worker_reply("v");
-  // What follows the value: a duplicate reply, a stray byte, a malformed element, and an element that is
-  // never completed.
-  for (const std::string& reply :
-       {complete + complete, complete + "x", value + "!\r\n$-1\r\n", value + "$9\r\nused"}) {
+  // What follows the response: a duplicate of it, and a stray byte.
+  for (const std::string& reply : {complete + complete, complete + "x"}) {
     INFO(reply);
     Deployment deployment(1);
     TestConnection client = deployment.ready_client();
@@ -81,6 +78,49 @@
   }
 }
 
+// Guards against serving a value whose stated length is wrong: it contains the bytes of the elements that are
+// then missing (docs/incidents/wrong-length.md).
+TEST_CASE("a value is not forwarded if an element of its response is missing or malformed") {
+  const std::string value = "*3\r\n" + bulk_string("v");
+  const std::string figures = "$6\r\nused=1\r\n";
+  // A length that is too large ends at the line end of a later element, one that is too small at a line end
+  // within the value.
+  for (const std::string& reply :
+       {std::string("*3\r\n$6\r\nv\r\n$-1\r\n$-1\r\n"), std::string("*3\r\n$11\r\nv\r\n$-1\r\n$-1\r\n"),
+        "*3\r\n$5\r\nv\r\n" + figures + "$-1\r\n", "*3\r\n$13\r\nv\r\n" + figures + "$-1\r\n",
+        "*3\r\n$1\r\nv\r\n$1\r\nw\r\n" + figures + "$-1\r\n",
+        std::string("*3\r\n$1\r\nv\r\nw\r\n$-1\r\n$-1\r\n"), std::string("*2\r\n$6\r\nv\r\n$-1\r\n$-1\r\n"),
+        value + "!\r\n$-1\r\n", value + "$-1\r\n", value + "$9\r\nused"}) {
+    INFO(reply);
+    Deployment deployment(1);
+    TestConnection client = deployment.ready_client();
+    client.send(pay_request("1"));
+    TestConnection worker = deployment.next_attempt().connection;
+    worker.answer_command(reply);
+    REQUIRE(client.receives(kFailed));
+    REQUIRE(worker.reaches_end());
+    REQUIRE(deployment.no_attempt_for(20ms));
+    client.send(pay_request("2"));
+    deployment.next_attempt().connection.answer_command(worker_reply("w"));
+    REQUIRE(client.receives(bulk_string("w")));
+  }
+}
+
+TEST_CASE("a response that arrives in pieces is forwarded when its last element is complete") {
+  Deployment deployment(1);
+  TestConnection client = deployment.ready_client();
+  client.send(pay_request("1"));
+  TestConnection worker = deployment.next_attempt().connection;
+  worker.receive_command();
+  for (const char* piece : {"*3\r\n$1\r\nv", "\r\n", "$6\r\nused=1\r\n", "$10\r\ninfl"}) {
+    worker.send(piece);
+    REQUIRE(client.receives_nothing_for(80ms));
+  }
+  worker.send("ight=7\r\n");
+  REQUIRE(client.receives(bulk_string("v")));
+  REQUIRE(deployment.no_attempt_for(20ms));
+}
+
 TEST_CASE("a duplicate reply is not used for another request, and a lookup with a partial reply is retried") {
   Deployment deployment(1);
   TestConnection client = deployment.ready_client();
