Release the memory of buffers that are emptied

Cause: a std::string keeps its memory when an empty string is assigned to it. TcpStream::retain_unconsumed, flush, discard_unread and discard_unwritten, ClientConnection::end_read_batch and JsonSplitter::emit_object did so to release their buffers, as their comments say, and so each connection to a client or worker kept the largest buffers that it had ever needed.

Evidence: a probe prints a capacity of 60,000 after the assignment, 15 after a swap.

A stream keeps unconsumed bytes in no more memory than they need.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "net/buffer_memory.hpp"
 #include "net/log.hpp"
 
 namespace ironquay::net {
@@ -200,7 +201,7 @@
 void ClientConnection::end_read_batch() {
   in_read_batch_ = false;
   if (!read_batch_responses_.empty()) stream_.write({read_batch_responses_});
-  read_batch_responses_ = std::string();
+  release_memory(read_batch_responses_);
 }
 
 // Called after bytes were read or written. Resumes reading when the limits allow it, and starts or continues
--- a/src/net/json_splitter.hpp
+++ b/src/net/json_splitter.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "net/buffer_memory.hpp"
+
 namespace ironquay::net {
 
 class JsonSplitter {
@@ -48,7 +50,7 @@
     } else {
       on_object(std::string_view(partial_object_.append(last_piece)));
     }
-    partial_object_ = std::string();  // releases its memory
+    release_memory(partial_object_);
   }
 
   std::string partial_object_;  // the received part of an object that is incomplete
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -45,16 +45,11 @@
   return unread_;
 }
 
-// Buffers the bytes that were not consumed. An empty buffer is deallocated, so that an idle stream holds no
-// memory.
+// Buffers the bytes that were not consumed, in no more memory than they need. An idle stream holds no memory.
 void TcpStream::retain_unconsumed(std::string_view bytes, std::size_t consumed) {
-  if (consumed == bytes.size()) {
-    unread_ = std::string();
-  } else if (bytes.data() == unread_.data()) {
-    unread_.erase(0, consumed);
-  } else {
-    unread_.assign(bytes.substr(consumed));
-  }
+  const bool is_buffered = bytes.data() == unread_.data();
+  if (is_buffered && consumed == 0) return;
+  std::string(bytes.substr(consumed)).swap(unread_);
 }
 
 void TcpStream::write(std::initializer_list<std::string_view> parts) {
@@ -90,7 +85,7 @@
     sent += static_cast<std::size_t>(accepted);
   }
   unwritten_.erase(0, sent);
-  if (unwritten_.empty()) unwritten_ = std::string();
+  if (unwritten_.empty()) release_memory(unwritten_);
 }
 
 void TcpStream::resume() {
--- a/src/net/tcp_stream.hpp
+++ b/src/net/tcp_stream.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 
+#include "net/buffer_memory.hpp"
 #include "net/event_loop.hpp"
 #include "net/file_descriptor.hpp"
 
@@ -64,8 +65,8 @@
   void schedule_read() { loop_.requeue(token_, EventLoop::kReadToEnd); }
   // Half-closes the connection: the peer receives the end of stream.
   void shutdown_write();
-  void discard_unread() { unread_ = std::string(); }
-  void discard_unwritten() { unwritten_ = std::string(); }
+  void discard_unread() { release_memory(unread_); }
+  void discard_unwritten() { release_memory(unwritten_); }
   // Closes the socket immediately. Bytes passed to `consume` stay valid until the owner's handler returns.
   void close();
 
