Count all that clients make the gateway hold against the memory limit

Cause: the limit on the client side counted the bytes of accepted requests and of waiting responses only. Not counted: incomplete commands (up to 68 KiB for each connection), the objects of pipelined commands (some 350 bytes, for a request some 500 more in look-up tables and decisions), the copy of a request in an attempt that waits for its connection. Over the limit a rejection still took its place in the pipeline. Finished commands were destroyed only at the next event of a client, up to 95,000 after one batch. Waiting values and clients that do not read had bounds that do not follow from the limit.

Change: input that is kept has a limit of its own, half of the client side's. Over it, incomplete commands get -BUSY and a half-close, the longest waiting first. Commands count with their objects. Over half of the limit, a connection with a pending command is not read on, so pipelines wait and are not rejected; the other half is left to connections without one. Finished commands are destroyed before the next. A value that must wait fails its request if there is no memory for it. A client that does not read is closed from its equal share of the limit on. Why it works: whatever a client sends, the gateway keeps it only while it is counted, and each count has a bound that follows from memory_mb.

A command is parsed before reading is paused, so that what a connection waits for is known to be incomplete: only then is it rejected or evicted.

--- a/src/net/client_close_reason.cpp
+++ b/src/net/client_close_reason.cpp
@@ -26,6 +26,8 @@
       return "no-request";
     case ClientCloseReason::draining:
       return "draining";
+    case ClientCloseReason::memory_limit:
+      return "memory-limit";
     case ClientCloseReason::slow_reader:
       return "slow-reader";
   }
--- a/src/net/client_close_reason.hpp
+++ b/src/net/client_close_reason.hpp
@@ -15,6 +15,7 @@
   incomplete_command,        // the client was idle for too long after a part of a command
   no_command,                // the client was idle for too long and had sent nothing
   draining,                  // the gateway is shutting down gracefully
+  memory_limit,              // incomplete commands exceeded their memory limit
   slow_reader,               // the memory limit is exceeded and the client does not read its responses
 };
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -17,6 +17,17 @@
 // sent. While a connection is over either limit, the gateway reads no further commands from it.
 constexpr std::size_t kMaxPipelinedCommands = 1024;
 constexpr std::size_t kMaxUnwrittenBytes = std::size_t{256} * 1024;
+// How much is read at a time while memory is scarce. A paused connection keeps at most this much of complete
+// commands, besides what it had read before.
+constexpr std::size_t kScarceMemoryReadBytes = std::size_t{4} * 1024;
+// The memory for a command in the pipeline besides its bytes, with the overhead of the allocations.
+constexpr std::size_t kCommandOverheadBytes = sizeof(ClientRequest) + 64;
+// The memory for a request in flight besides its bytes: the state of the decisions and the entries of look-up
+// tables.
+constexpr std::size_t kRequestOverheadBytes = 512;
+// The bytes of a request are stored in the request, and once more in an attempt that waits for its
+// connection.
+constexpr std::size_t kRequestCopies = 2;
 // If the client of a closing connection sends more than this after all responses are written, the gateway
 // does not wait for the linger timeout.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{1024} * 1024;
@@ -35,6 +46,8 @@
 void ClientConnection::on_events(std::uint32_t events) {
   context_.requests.release_finished();
   stream_.make_progress(events);
+  stream_.set_max_read_bytes(context_.memory.is_scarce() ? kScarceMemoryReadBytes
+                                                         : EventLoop::kReadBufferBytes);
   in_read_batch_ = true;
   stream_.read(events, [this](std::string_view bytes) { return consume(bytes); });
   end_read_batch();
@@ -46,21 +59,24 @@
   // not continue after their client has disconnected.
   if (stream_.paused() && (events & EPOLLRDHUP)) return close(ClientCloseReason::client_eof);
   if (!stream_.paused() && stream_.receive_buffer_drained()) unread_since_.reset();
+  if (has_incomplete_command()) context_.connections.mark_used(*this);
   after_progress();
+  if (context_.memory.input_is_exceeded()) context_.limiter.reject_incomplete_commands(context_.memory);
 }
 
 // Processes the complete commands in `bytes` and returns how many bytes they take up.
 std::size_t ClientConnection::consume(std::string_view bytes) {
   std::size_t consumed = 0;
   while (consumed < bytes.size()) {
+    context_.requests.release_finished();
     if (is_closing()) return discard(bytes.size());
+    resp::Command command;
+    const resp::ParseStatus status = resp::parse_command(bytes.substr(consumed), command);
+    if (status == resp::ParseStatus::incomplete) break;
     if (should_pause_reading()) {
       pause_reading();
       break;
     }
-    resp::Command command;
-    const resp::ParseStatus status = resp::parse_command(bytes.substr(consumed), command);
-    if (status == resp::ParseStatus::incomplete) break;
     if (status == resp::ParseStatus::malformed) {
       respond_to_command("-ERR Protocol error\r\n");
       begin_close(ClientCloseReason::protocol_error);
@@ -80,8 +96,20 @@
   return bytes;
 }
 
+// While memory is scarce, a client gets a response to its earlier commands before further ones are processed.
+// A connection without a pending command is not paused, because no response would resume it.
 bool ClientConnection::should_pause_reading() const {
-  return pipeline_.size() >= kMaxPipelinedCommands || stream_.unwritten_bytes() > kMaxUnwrittenBytes;
+  return pipeline_.size() >= kMaxPipelinedCommands || stream_.unwritten_bytes() > kMaxUnwrittenBytes ||
+         (!pipeline_.empty() && context_.memory.is_scarce());
+}
+
+bool ClientConnection::may_resume_reading() const {
+  return pipeline_.size() < kMaxPipelinedCommands / 2 && stream_.unwritten_bytes() < kMaxUnwrittenBytes / 2 &&
+         (pipeline_.empty() || !context_.memory.is_scarce());
+}
+
+void ClientConnection::resume_reading_if_possible() {
+  if (may_resume_reading()) stream_.resume();
 }
 
 void ClientConnection::pause_reading() {
@@ -121,8 +149,7 @@
 
 void ClientConnection::accept_request(ClientRequest& request, std::size_t command_bytes) {
   request.time_left = time_left_of(request.request);
-  request.accounted_bytes = command_bytes;
-  context_.memory.in_flight_bytes += command_bytes;
+  account(request, kRequestOverheadBytes + kRequestCopies * command_bytes);
   const std::size_t max_open_requests = context_.settings.connection.max_open_requests;
   const bool too_many = max_open_requests > 0 && context_.requests.pending() > max_open_requests;
   if (too_many || context_.memory.is_exceeded()) return request.reject(Duration(0));
@@ -163,15 +190,24 @@
   pipeline_.push_back(std::make_unique<ClientRequest>(*this, context_.requests));
   context_.requests.on_enqueued();
   context_.connections.mark_used(*this);
+  account(*pipeline_.back(), kCommandOverheadBytes);
   return *pipeline_.back();
 }
 
+// Counts `bytes` against the memory limit until the request is removed from the pipeline.
+void ClientConnection::account(ClientRequest& request, std::size_t bytes) const {
+  request.accounted_bytes += bytes;
+  context_.memory.in_flight_bytes += bytes;
+}
+
+bool ClientConnection::has_room_for_value(const ClientRequest& request, std::size_t bytes) const {
+  return pipeline_.front().get() == &request || context_.memory.has_room_for_response(bytes);
+}
+
 void ClientConnection::deliver_response(ClientRequest& request,
                                         std::initializer_list<std::string_view> parts) {
   if (pipeline_.front().get() == &request) return write_first_response(parts);
-  const std::size_t buffered_bytes = request.buffer_response(parts);
-  request.accounted_bytes += buffered_bytes;
-  context_.memory.in_flight_bytes += buffered_bytes;
+  account(request, request.buffer_response(parts));
 }
 
 // Writes the response to the first command in the pipeline, and then the buffered responses that directly
@@ -207,9 +243,8 @@
 // Called after bytes were read or written. Resumes reading when the limits allow it, and starts or continues
 // to close the connection when its state requires it.
 void ClientConnection::after_progress() {
-  if (pipeline_.size() < kMaxPipelinedCommands / 2 && stream_.unwritten_bytes() < kMaxUnwrittenBytes / 2)
-    stream_.resume();
-  account_unwritten_bytes();
+  resume_reading_if_possible();
+  account_buffers();
   if (is_slow_reader()) {
     begin_close(ClientCloseReason::slow_reader);
     // The timer discards the responses. They are not discarded here, because functions further up the stack
@@ -224,13 +259,19 @@
   if (is_closing() && all_responses_written()) half_close();
 }
 
-void ClientConnection::account_unwritten_bytes() {
-  context_.memory.unwritten_bytes += stream_.unwritten_bytes() - accounted_unwritten_bytes_;
-  accounted_unwritten_bytes_ = stream_.unwritten_bytes();
+// Updates the memory that the connection's buffers count for.
+void ClientConnection::account_buffers() {
+  if (closed_) return;
+  ClientMemory& memory = context_.memory;
+  memory.input_bytes += stream_.unread_memory() - accounted_input_bytes_;
+  accounted_input_bytes_ = stream_.unread_memory();
+  memory.unwritten_bytes += stream_.unwritten_memory() - accounted_unwritten_bytes_;
+  accounted_unwritten_bytes_ = stream_.unwritten_memory();
 }
 
 bool ClientConnection::is_slow_reader() const {
-  return !is_closing() && accounted_unwritten_bytes_ > kMaxUnwrittenBytes && context_.memory.is_exceeded();
+  const std::size_t max_bytes = std::min(kMaxUnwrittenBytes, context_.memory.connection_share_bytes);
+  return !is_closing() && stream_.unwritten_bytes() > max_bytes && context_.memory.is_exceeded();
 }
 
 void ClientConnection::shorten_deadlines(Duration time_left) {
@@ -253,6 +294,13 @@
   if (!in_read_batch_ && all_responses_written()) half_close();
 }
 
+void ClientConnection::reject_incomplete_command() {
+  respond_to_command("-BUSY\r\n");
+  begin_close(ClientCloseReason::memory_limit);
+  stream_.discard_unread();
+  account_buffers();
+}
+
 void ClientConnection::half_close() {
   if (closed_ || is_lingering()) return;
   idle_since_ = context_.loop.now();
@@ -262,6 +310,7 @@
   if (!linger_timer_.is_active())
     linger_timer_.expire_after(drain.is_draining ? drain.linger_timeout : kLingerTimeout);
   context_.connections.move_to_lingering(*this);
+  account_buffers();
 }
 
 void ClientConnection::on_linger_timeout() {
@@ -284,6 +333,7 @@
   stream_.close();
   if (std::exchange(has_sent_request_, false)) context_.limiter.on_request_connection_removed();
   release_requests();
+  context_.memory.input_bytes -= std::exchange(accounted_input_bytes_, 0);
   context_.loop.destroy_later(context_.connections.remove(*this));
   context_.on_connection_closed();
 }
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -52,6 +52,11 @@
   // Closes the socket immediately. Logs the reason given to begin_close(), or else `reason`. Does nothing if
   // the connection is already closed.
   void close(ClientCloseReason reason);
+  // Rejects the command of which only a part has been received, releases the memory of that part and closes
+  // the connection.
+  void reject_incomplete_command();
+  // Continues to read if the limits that stopped it allow it again.
+  void resume_reading_if_possible();
   // Moves the deadline of each open request to `time_left` from now, unless it is earlier already.
   void shorten_deadlines(Duration time_left);
   // Writes the response to `request`, or buffers it until the responses to all earlier commands are written.
@@ -64,7 +69,8 @@
   // half-closed, whichever is latest.
   bool is_idle_for(Duration time) const { return context_.loop.now() - idle_since_ >= time; }
   bool all_responses_written() const { return pipeline_.empty() && stream_.all_written(); }
-  bool has_incomplete_command() const { return !stream_.unread().empty(); }
+  // Whether a part of a command has been received and the gateway waits for the rest.
+  bool has_incomplete_command() const { return stream_.waits_for_bytes() && !is_closing(); }
   bool has_sent_command() const { return command_count_ > 0; }
   // Whether the client has sent a valid request and the connection is not closing.
   bool has_sent_request() const { return has_sent_request_; }
@@ -72,6 +78,8 @@
   bool is_closed() const { return closed_; }
   // Whether the gateway has half-closed the connection.
   bool is_lingering() const { return table_position.is_lingering; }
+  // Whether a value of this size can be delivered: it can be written at once, or there is memory to keep it.
+  bool has_room_for_value(const ClientRequest& request, std::size_t bytes) const;
   // Whether the system has neither bytes nor an end of stream to read.
   bool nothing_to_read() const { return stream_.nothing_to_read(); }
   // Whether the next read would return the end of stream or an error.
@@ -84,6 +92,7 @@
   std::size_t consume(std::string_view bytes);
   std::size_t discard(std::size_t bytes);
   bool should_pause_reading() const;
+  bool may_resume_reading() const;
   void pause_reading();
   void handle_command(const resp::Command& command);
   void handle_request(const resp::Command& command, CommandType type);
@@ -91,6 +100,7 @@
   Duration time_left_of(const RequestMessage& message) const;
   bool try_free_request_id(std::string_view client_request_id);
   ClientRequest& enqueue_request();
+  void account(ClientRequest& request, std::size_t bytes) const;
   void respond_to_command(std::string_view response) { enqueue_request().respond({response}); }
 
   // ---- Writing responses
@@ -99,7 +109,7 @@
   void remove_first_request();
   void end_read_batch();
   void after_progress();
-  void account_unwritten_bytes();
+  void account_buffers();
   bool is_slow_reader() const;
 
   // ---- Closing
@@ -123,6 +133,7 @@
   bool in_read_batch_ = false;
   std::size_t command_count_ = 0;              // complete commands received on this connection
   std::size_t discarded_bytes_ = 0;            // input discarded since begin_close()
+  std::size_t accounted_input_bytes_ = 0;      // this connection's share of ClientMemory::input_bytes
   std::size_t accounted_unwritten_bytes_ = 0;  // this connection's share of ClientMemory::unwritten_bytes
   bool has_sent_request_ = false;
   std::optional<ClientCloseReason> close_reason_;  // set when closing begins
--- a/src/net/client_context.hpp
+++ b/src/net/client_context.hpp
@@ -1,5 +1,6 @@
 // State that the client connections of a gateway share.
 #pragma once
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 
@@ -32,7 +33,8 @@
       : loop(event_loop),
         settings(decoded_settings),
         listener(request_listener),
-        memory{.limit_bytes = memory_limit_bytes},
+        memory{.limit_bytes = memory_limit_bytes,
+               .connection_share_bytes = memory_limit_bytes / std::max<std::size_t>(max_connections, 1)},
         limiter(event_loop, connections, max_connections) {}
   ~ClientContext() = default;
   ClientContext(const ClientContext&) = delete;
--- a/src/net/client_request.cpp
+++ b/src/net/client_request.cpp
@@ -8,7 +8,10 @@
 
 namespace ironquay::net {
 
-void ClientRequest::respond_with_value(std::string_view raw_value) { respond({raw_value}); }
+void ClientRequest::respond_with_value(std::string_view raw_value) {
+  if (connection_ && !connection_->has_room_for_value(*this, raw_value.size())) return fail();
+  respond({raw_value});
+}
 
 void ClientRequest::reject(Duration retry_after) {
   if (retry_after <= Duration(0)) return respond({"-BUSY\r\n"});
--- a/src/net/connection_limiter.cpp
+++ b/src/net/connection_limiter.cpp
@@ -15,7 +15,7 @@
 // A connection without an open request may be closed after this time. If its client has sent a complete
 // command and no part of another, it is closed only while more than half of the connection limit is in use.
 constexpr Duration kIdleTimeout = 2s;
-constexpr Duration kIdleCheckInterval = 250ms;
+constexpr Duration kCheckInterval = 250ms;
 // The limit on connections that have carried requests, as a fraction of the connection limit. If they use
 // more than a third of the file descriptors, the deployment platform routes no further clients to this
 // gateway. The limit is three quarters of that third. This is about a quarter of the descriptors, or two
@@ -31,8 +31,8 @@
     : loop_(loop),
       connections_(connections),
       max_connections_(std::max<std::size_t>(max_connections, 1)),
-      idle_check_timer_(loop, [this] { close_idle_connections(); }) {
-  idle_check_timer_.expire_after(kIdleCheckInterval);
+      check_timer_(loop, [this] { check_connections(); }) {
+  check_timer_.expire_after(kCheckInterval);
 }
 
 ConnectionLimiter::Capacity ConnectionLimiter::ensure_capacity() {
@@ -85,8 +85,25 @@
   }
 }
 
+void ConnectionLimiter::reject_incomplete_commands(const ClientMemory& memory) {
+  for (ClientConnection* connection : connections_.active_snapshot()) {
+    if (!memory.input_is_exceeded()) return;
+    if (connection->has_incomplete_command()) connection->reject_incomplete_command();
+  }
+}
+
+void ConnectionLimiter::check_connections() {
+  check_timer_.expire_after(kCheckInterval);
+  resume_paused_connections();
+  close_idle_connections();
+}
+
+// A connection that was paused for lack of memory may be resumed after other connections have released some.
+void ConnectionLimiter::resume_paused_connections() {
+  for (const auto& connection : connections_.active()) connection->resume_reading_if_possible();
+}
+
 void ConnectionLimiter::close_idle_connections() {
-  idle_check_timer_.expire_after(kIdleCheckInterval);
   std::size_t open_connections = connections_.active().size();
   for (ClientConnection* connection : connections_.active_snapshot()) {
     if (connection->is_closing() || !connection->all_responses_written()) continue;
--- a/src/net/connection_limiter.hpp
+++ b/src/net/connection_limiter.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include <cstddef>
 
+#include "net/client_memory.hpp"
 #include "net/connection_table.hpp"
 #include "net/event_loop.hpp"
 #include "net/timer.hpp"
@@ -25,6 +26,10 @@
   // Returns whether a connection can be accepted. Evicts another connection if that is necessary.
   Capacity ensure_capacity();
 
+  // Rejects incomplete commands, those that have waited for longest first, until the input is within its
+  // limit or none is left.
+  void reject_incomplete_commands(const ClientMemory& memory);
+
   // These functions maintain the number of connections that have carried a request and are not closing. If an
   // added connection exceeds the limit on that number, an idle one is closed.
   void on_request_connection_added();
@@ -34,13 +39,15 @@
   ClientConnection* eviction_candidate() const;
   template <typename Predicate>
   ClientConnection* find_evictable(Predicate predicate) const;
+  void check_connections();
+  void resume_paused_connections();
   void close_idle_connections();
 
   EventLoop& loop_;
   ConnectionTable& connections_;
   std::size_t max_connections_;
   std::size_t request_connections_ = 0;  // connections that have carried a request and are not closing
-  Timer idle_check_timer_;
+  Timer check_timer_;
 };
 
 }  // namespace ironquay::net
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -19,8 +19,9 @@
   using Listener = RequestListener;
 
   // Binds the address. Connections are refused until start_accepting(). The frontend uses about
-  // `max_connections` file descriptors at most, and rejects requests while the requests and responses that it
-  // holds exceed `memory_limit_bytes`. The loop, the settings and the listener must outlive the frontend.
+  // `max_connections` file descriptors at most. It rejects requests while the requests and responses that it
+  // holds exceed `memory_limit_bytes`, and incomplete commands while they exceed half of it. The loop, the
+  // settings and the listener must outlive the frontend.
   // Throws std::system_error if the address cannot be bound.
   Frontend(EventLoop& loop, const Address& address, const DecodedSettings& settings,
            std::size_t max_connections, std::size_t memory_limit_bytes, Listener& listener);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -22,7 +22,8 @@
 constexpr std::size_t kClientConnectionEighths = 5;
 constexpr std::size_t kWorkerConnectionEighths = 3;
 
-// A quarter of the process's memory limit is for requests, an eighth for incomplete responses.
+// A quarter of the process's memory limit is for requests and their responses to clients, an eighth for
+// incomplete responses of workers. Another eighth is for clients' input (see ClientMemory).
 constexpr std::size_t kRequestMemoryDivisor = 4;
 constexpr std::size_t kResponseMemoryDivisor = 8;
 
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -34,8 +34,9 @@
 // arrive later raise a new event.
 std::string_view TcpStream::receive() {
   EventLoop::ReadBuffer& buffer = loop_.read_buffer();
-  const ssize_t received = recv(socket_.get(), buffer.data(), buffer.size(), 0);
-  receive_buffer_drained_ = received < static_cast<ssize_t>(buffer.size());
+  const std::size_t requested = std::min(buffer.size(), max_read_bytes_);
+  const ssize_t received = recv(socket_.get(), buffer.data(), requested, 0);
+  receive_buffer_drained_ = received < static_cast<ssize_t>(requested);
   if (received == 0) end_ = ConnectionEnd::peer_closed;
   if (received < 0 && errno != EAGAIN && errno != EINTR) end_ = ConnectionEnd::reset;
   if (received <= 0) return {};
--- a/src/net/tcp_stream.hpp
+++ b/src/net/tcp_stream.hpp
@@ -65,6 +65,9 @@
   void schedule_read() { loop_.requeue(token_, EventLoop::kReadToEnd); }
   // Half-closes the connection: the peer receives the end of stream.
   void shutdown_write();
+  // Limits how many bytes a read may return, and so how many bytes the stream keeps if the owner consumes
+  // none.
+  void set_max_read_bytes(std::size_t bytes) { max_read_bytes_ = bytes; }
   void discard_unread() { release_memory(unread_); }
   void discard_unwritten() { release_memory(unwritten_); }
   // Closes the socket immediately. Bytes passed to `consume` stay valid until the owner's handler returns.
@@ -78,6 +81,12 @@
   bool all_written() const { return unwritten_.empty(); }
   std::size_t unwritten_bytes() const { return unwritten_.size(); }
   std::string_view unread() const { return unread_; }
+  // Whether the owner has left bytes unconsumed because it needs more. Bytes that a paused or just resumed
+  // stream keeps may be a complete message.
+  bool waits_for_bytes() const { return !unread_.empty() && !paused_ && !resumed_; }
+  // The memory in bytes that is allocated for unread(), and for the bytes that are not written yet.
+  std::size_t unread_memory() const { return allocated_bytes(unread_); }
+  std::size_t unwritten_memory() const { return allocated_bytes(unwritten_); }
   // Whether the last read returned fewer bytes than requested, which shows that the system had no more.
   bool receive_buffer_drained() const { return receive_buffer_drained_; }
   // Whether the system has neither bytes nor an end of stream to read. Makes a system call.
@@ -102,6 +111,7 @@
   EventLoop::Token token_;
   std::string unread_;     // received bytes that the owner has not consumed
   std::string unwritten_;  // bytes that the system has not accepted yet
+  std::size_t max_read_bytes_ = EventLoop::kReadBufferBytes;
   bool connected_;
   bool receive_buffer_drained_ = false;
   bool paused_ = false;
--- a/test/net/support/frontend_fixture.hpp
+++ b/test/net/support/frontend_fixture.hpp
@@ -15,9 +15,10 @@
 /// set. The Frontend makes progress only while the test runs the loop.
 class FrontendFixture : public Frontend::Listener {
  public:
-  explicit FrontendFixture(std::size_t max_connections = 25, int client_timeout_ms = 3000)
+  explicit FrontendFixture(std::size_t max_connections = 25, int client_timeout_ms = 3000,
+                           std::size_t memory_limit_bytes = kMaxBufferedBytes)
       : decoded_(decode_settings(settings(client_timeout_ms))),
-        frontend(loop, address_, decoded_, max_connections, kMaxBufferedBytes, *this) {
+        frontend(loop, address_, decoded_, max_connections, memory_limit_bytes, *this) {
     frontend.start_accepting();
   }
 
--- a/test/net/support/gateway_process.cpp
+++ b/test/net/support/gateway_process.cpp
@@ -100,13 +100,10 @@
   return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
+long GatewayProcess::peak_memory_kb() const { return std::atol(status_field("VmHWM:").c_str()); }
+
 bool GatewayProcess::blocks(int signal) const {
-  constexpr std::string_view kBlockedMask = "SigBlk:";
-  std::ifstream status(proc_file("status"));
-  for (std::string line; std::getline(status, line);)
-    if (line.starts_with(kBlockedMask))
-      return std::stoull(line.substr(kBlockedMask.size()), nullptr, 16) >> (signal - 1) & 1;
-  return false;
+  return std::stoull(status_field("SigBlk:"), nullptr, 16) >> (signal - 1) & 1;
 }
 
 char GatewayProcess::state() const {
@@ -118,6 +115,14 @@
   return state.empty() ? '?' : state[0];
 }
 
+std::string GatewayProcess::status_field(std::string_view name) const {
+  std::ifstream status(proc_file("status"));
+  for (std::string line; std::getline(status, line);)
+    if (line.starts_with(name)) return line.substr(name.size());
+  FAIL("the process has no field " << name);
+  return {};
+}
+
 std::string GatewayProcess::proc_file(const char* name) const {
   return "/proc/" + std::to_string(pid_) + "/" + name;
 }
--- a/test/net/support/gateway_process.hpp
+++ b/test/net/support/gateway_process.hpp
@@ -48,12 +48,16 @@
 
   /// The processor time that the process has used so far.
   double cpu_seconds() const;
+  /// The largest amount of memory that the process has had in use so far, in kB.
+  long peak_memory_kb() const;
   /// Whether the process blocks this signal.
   bool blocks(int signal) const;
 
  private:
   /// The state of the process in the notation of /proc (R, S, T and so on); '?' if it does not exist.
   char state() const;
+  /// The value of a field of /proc/PID/status, whose name ends with a colon.
+  std::string status_field(std::string_view name) const;
   /// The path of a file of the process in /proc.
   std::string proc_file(const char* name) const;
 
