Close an unusable worker connection without reading it

Cause: all streams read into EventLoop::read_buffer. A client's request is processed while its words are views of that buffer; within that, acquire_idle_connection called close_unless_usable, which read what an idle connection had received, over the request. Counter replies and watch events that lead to an attempt were at risk too.

Evidence: the new test brings about the order in one loop, without a hold: the duplicate arrives while the request is processed.

Change: a connection that has something to read is closed without reading it, as it cannot be used whatever it is. TcpStream::read locks the buffer, so that a read within another waits for the next iteration. Why it works: no stream fills the buffer while bytes in it are processed.

--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -66,8 +66,22 @@
   // Ends run() at the end of the current iteration.
   void stop() { running_ = false; }
 
-  // A buffer shared by all handlers. Its content is valid only until the handler that filled it returns.
+  // A buffer shared by all handlers. Its content is valid only until the handler that filled it returns. A
+  // handler that fills it holds a ReadBufferLock meanwhile.
   ReadBuffer& read_buffer() { return *read_buffer_; }
+  bool read_buffer_is_locked() const { return read_buffer_locked_; }
+
+  // Marks the read buffer as in use for the lifetime of this object. The buffer must not be locked already.
+  class ReadBufferLock {
+   public:
+    explicit ReadBufferLock(EventLoop& loop) : loop_(loop) { loop_.read_buffer_locked_ = true; }
+    ~ReadBufferLock() { loop_.read_buffer_locked_ = false; }
+    ReadBufferLock(const ReadBufferLock&) = delete;
+    ReadBufferLock& operator=(const ReadBufferLock&) = delete;
+
+   private:
+    EventLoop& loop_;
+  };
 
  private:
   friend class Timer;
@@ -106,6 +120,7 @@
   std::vector<std::unique_ptr<Handler>> to_destroy_;
   std::vector<Timer*> timers_;  // a binary min-heap, ordered by expiry time
   std::unique_ptr<ReadBuffer> read_buffer_;
+  bool read_buffer_locked_ = false;
   bool running_ = true;
 };
 
--- a/src/net/tcp_stream.hpp
+++ b/src/net/tcp_stream.hpp
@@ -39,8 +39,12 @@
   // after kMaxReadsPerEvent reads, so that other connections are served, and continues in the next iteration
   // of the loop. `consume` has the signature std::size_t(std::string_view) and returns how many bytes it has
   // consumed. The other bytes are buffered and passed again, followed by those that arrive later.
+  // While `consume` of another stream is on the call stack, nothing is read until the next iteration, because
+  // the streams share a read buffer.
   template <typename Consume>
   void read(std::uint32_t events, Consume consume) {
+    if (loop_.read_buffer_is_locked()) return loop_.requeue(token_, events);
+    const EventLoop::ReadBufferLock lock(loop_);
     if (std::exchange(resumed_, false) && !unread_.empty())
       retain_unconsumed(unread_, consume(std::string_view(unread_)));
     const bool to_end = events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR | EventLoop::kReadToEnd);
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -228,9 +228,12 @@
   if (use_ != Use::idle) finish(outcome);
 }
 
+// Does not read what has arrived, because the caller may be processing the content of the shared read buffer.
 bool UpstreamConnection::close_unless_usable() {
   if (stream_.nothing_to_read()) return true;
-  on_events(EventLoop::kReadToEnd);
+  close(stream_.peer_has_disconnected() ? UpstreamCloseReason::closed_by_worker
+                                        : UpstreamCloseReason::malformed_response,
+        Outcome::cancelled);
   return false;
 }
 
--- a/test/net/upstream_connection_test.cpp
+++ b/test/net/upstream_connection_test.cpp
@@ -3,7 +3,9 @@
 // twice, the second time a few milliseconds later; if the connection were reused immediately, the duplicate
 // would be taken for the reply to the next request. Second: a worker resets a reused connection after it has
 // received a request; the request may have been executed, and must not be executed twice.
+#include "net/upstream_pool.hpp"
 #include "support/deployment.hpp"
+#include "support/frontend_fixture.hpp"
 
 namespace ironquay::net {
 namespace {
@@ -126,5 +128,55 @@
   REQUIRE(client.receives(bulk_string("w")));
 }
 
+// Answers the request that is in flight with the value of its attempt.
+struct ForwardingListener : UpstreamPool::Listener {
+  void on_attempt_end(const AttemptEnd& end) override {
+    if (end.outcome == Outcome::success) exchange->respond_with_value(end.value);
+  }
+  bool may_send_attempt(RequestId, std::size_t) override { return true; }
+  void on_health_check_end(WorkerId, Outcome, Duration) override {}
+
+  Exchange* exchange = nullptr;
+};
+
+// Guards against a request whose bytes are overwritten, in the read buffer that all connections share, by
+// what a worker has sent on an idle connection (docs/incidents/shared-read-buffer.md).
+TEST_CASE("a duplicate reply that arrives while a request is processed does not change the request") {
+  constexpr WorkerId kWorker = 1;
+  FrontendFixture fixture;
+  TestServer server;
+  ForwardingListener listener;
+  const DecodedSettings settings = decode_settings(default_settings());
+  UpstreamPool pool(fixture.loop, settings.connection, {8, 1 << 20}, listener);
+  pool.set_endpoint(kWorker, address_of(server.fd()), 0ms);
+  const std::string reply = worker_reply(std::string(120, 'v'));
+  TestConnection worker;
+  fixture.request_hook = [&](Exchange& exchange) {
+    listener.exchange = &exchange;
+    if (exchange.id == 2) worker.send(reply);
+    std::this_thread::sleep_for(5ms);  // until the reply has arrived
+    pool.send_attempt(exchange, 0, kWorker, 1s);
+  };
+  TestConnection client = fixture.connect();
+  client.send(lookup_request("first"));
+  REQUIRE(fixture.run_until_requests(1));
+  worker = server.accept();
+  fixture.run_for(20ms);
+  worker.answer_command(reply);
+  fixture.run_for(kReuseDelay + 20ms);
+  REQUIRE(client.receives(bulk_string(std::string(120, 'v'))));
+
+  client.send(lookup_request("second"));
+  REQUIRE(fixture.run_until_requests(2));
+  TestConnection new_connection = server.accept();
+  fixture.run_for(20ms);
+  REQUIRE_THAT(new_connection.receive_command(),
+               StartsWith("CALL.GET " + std::string(kCustomer) + " second c="));
+  new_connection.send(worker_reply("w"));
+  fixture.run_for(20ms);
+  REQUIRE(client.receives(bulk_string("w")));
+  REQUIRE(worker.reaches_end());
+}
+
 }  // namespace
 }  // namespace ironquay::net
