--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -50,6 +50,11 @@
   deliver_results();
 }
 
+std::size_t CounterClient::pending_calls() const {
+  return (connection_ ? connection_->pending_calls() : 0) +
+         (draining_connection_ ? draining_connection_->pending_calls() : 0);
+}
+
 void CounterClient::set_address(const Address& address) {
   if (same_address(address, address_)) return;
   address_ = address;
--- a/src/net/counter_client.hpp
+++ b/src/net/counter_client.hpp
@@ -33,6 +33,8 @@
   // Adds `amount` units to the count `name`, which expires `lifetime` after its first use. The result is
   // reported to the listener; without a connection it is Outcome::connect_failed.
   void add(std::string_view name, double amount, Duration lifetime);
+  // The number of calls without a response.
+  std::size_t pending_calls() const;
   // Sends all further calls to another address.
   void set_address(const Address& address);
 
--- a/src/net/counter_connection.hpp
+++ b/src/net/counter_connection.hpp
@@ -59,6 +59,8 @@
   void add(std::string_view name, std::string_view command);
   // Whether a call for the count `name` has not ended yet.
   bool has_pending_call(std::string_view name) const;
+  // The number of calls without a response, including those that have timed out.
+  std::size_t pending_calls() const { return calls_.size(); }
   // Closes the connection as soon as no call is pending.
   void drain();
   // Closes the connection and reports the pending calls through Owner::on_connection_end().
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -37,6 +37,7 @@
   clock_updated_at_ += elapsed;
   const Duration expected = now_ + elapsed;
   now_ = expected + std::clamp(unix_time() - expected, -elapsed / 2, elapsed / 2);
+  longest_iteration_ = std::max(longest_iteration_, busy);
   const Duration overdue = timers_.empty() ? Duration(0) : now_ - timers_.front()->expires_at_;
   scheduling_delay_ = std::max({busy, overdue, Duration(0)});
 }
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -49,6 +49,9 @@
   // was running, or while the process was not scheduled.
   Duration scheduling_delay() const { return scheduling_delay_; }
 
+  // Returns the longest time that an iteration has taken since the last call.
+  Duration take_longest_iteration() { return std::exchange(longest_iteration_, Duration(0)); }
+
   // Watches a descriptor for input, output and the peer's end of stream (edge-triggered). The handler must
   // stay valid until unwatch(). Throws std::system_error.
   Token watch(int fd, Handler& handler);
@@ -110,6 +113,7 @@
   FileDescriptor epoll_;
   Duration now_{0};
   Duration scheduling_delay_{0};
+  Duration longest_iteration_{0};
   std::chrono::steady_clock::time_point clock_updated_at_;  // when now_ was last updated
   std::vector<Slot> slots_;
   std::vector<std::uint32_t> free_slots_;
--- a/src/net/frontend.hpp
+++ b/src/net/frontend.hpp
@@ -29,6 +29,8 @@
   // Starts listening for connections. Does nothing if the frontend is already listening or draining. Throws
   // std::system_error.
   void start_accepting();
+  // The state of the client connections, for the log.
+  const ClientContext& state() const { return context_; }
   // Starts a graceful shutdown (see ClientDrain) and calls `on_drained` once, when it is complete.
   void drain(std::function<void()> on_drained);
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -73,7 +73,8 @@
       frontend_(loop, config_.listen, config_.settings, max_client_connections(config_),
                 config_.memory_limit_bytes / kRequestMemoryDivisor, *this),
       upstreams_(loop, config_.settings.connection, upstream_limits(config_), *this),
-      discovery_(loop, config_.discovery, discovery_kind(config_), discovery_seed(config_), *this) {
+      discovery_(loop, config_.discovery, discovery_kind(config_), discovery_seed(config_), *this),
+      status_log_(loop, [this] { return status(); }) {
   discovery_.load_cached(std::exchange(config_.cached_endpoints, nullptr));
   discovery_.start();
   if (config_.counter && capabilities(config_).counter)
@@ -95,7 +96,10 @@
 void Gateway::drain() {
   startup_timer_.stop();
   on_ready_ = nullptr;
-  frontend_.drain([this] { loop_.stop(); });
+  frontend_.drain([this] {
+    status_log_.write();
+    loop_.stop();
+  });
 }
 
 void Gateway::open_frontend(StartupTrigger trigger) {
@@ -140,15 +144,30 @@
   if (found == open_requests_.end()) return;
   Exchange& exchange = *found->second;
   const std::size_t attempt = exchange.attempts_sent++;
+  ++status_log_.counters.attempts;
   upstreams_.send_attempt(exchange, attempt, worker, timeout);
 }
 
 void Gateway::reject(RequestId request, Duration retry_after) {
-  if (Exchange* exchange = take_exchange(request)) exchange->reject(retry_after);
+  Exchange* exchange = take_exchange(request);
+  if (!exchange) return;
+  ++status_log_.counters.rejected;
+  exchange->reject(retry_after);
 }
 
 void Gateway::fail(RequestId request) {
-  if (Exchange* exchange = take_exchange(request)) exchange->fail();
+  Exchange* exchange = take_exchange(request);
+  if (!exchange) return;
+  ++status_log_.counters.failed;
+  exchange->fail();
+}
+
+void Gateway::report_unserved(RequestId request, UnservedReason reason, std::size_t attempts) {
+  const auto found = open_requests_.find(request);
+  if (found == open_requests_.end()) return;
+  const std::string_view id = found->second->request.client_request_id;
+  log_request("request unserved id=%.*s reason=%s attempts=%zu", static_cast<int>(id.size()), id.data(),
+              to_string(reason), attempts);
 }
 
 void Gateway::cancel_attempt(RequestId request, std::size_t attempt) {
@@ -185,6 +204,7 @@
 
 void Gateway::on_request(Exchange& exchange) {
   exchange.id = ++last_request_id_;
+  ++status_log_.counters.received;
   open_requests_.emplace(exchange.id, &exchange);
   dispatch([this, &exchange] {
     const RequestMessage& request = exchange.request;
@@ -197,6 +217,7 @@
 void Gateway::on_client_disconnect(Exchange& exchange) {
   const RequestId id = exchange.id;
   if (!take_exchange(id)) return;
+  ++status_log_.counters.disconnected;
   dispatch([this, id] { balancer_.on_client_disconnect(loop_.now(), id); });
 }
 
@@ -212,10 +233,12 @@
 
 // If the outcome ends the request, answers the client first and then notifies the load balancer.
 void Gateway::on_attempt_end(const AttemptEnd& end) {
+  log_failed_attempt(end);
   bool request_finished = !open_requests_.contains(end.request);
   const bool is_final = end.outcome == Outcome::success || end.outcome == Outcome::invalid_request;
   if (!request_finished && is_final) {
     Exchange* exchange = take_exchange(end.request);
+    ++(end.outcome == Outcome::success ? status_log_.counters.served : status_log_.counters.failed);
     end.outcome == Outcome::success ? exchange->respond_with_value(end.value) : exchange->fail();
     request_finished = true;
   }
@@ -224,6 +247,28 @@
   dispatch([this, result] { balancer_.on_attempt_end(loop_.now(), result); });
 }
 
+void Gateway::log_failed_attempt(const AttemptEnd& end) const {
+  const auto found = open_requests_.find(end.request);
+  if (end.outcome == Outcome::success || found == open_requests_.end()) return;
+  const std::string_view id = found->second->request.client_request_id;
+  const std::string_view worker = worker_ids_.name_of(end.worker);
+  log_request("attempt failed id=%.*s attempt=%zu worker=%.*s outcome=%s elapsed_ms=%lld",
+              static_cast<int>(id.size()), id.data(), end.attempt, static_cast<int>(worker.size()),
+              worker.data(), to_string(end.outcome), static_cast<long long>(end.elapsed.count() / 1000));
+}
+
+StatusGauges Gateway::status() const {
+  const ClientContext& clients = frontend_.state();
+  const ClientMemory& memory = clients.memory;
+  const std::size_t lingering = clients.connections.lingering().size();
+  return {.clients = clients.connections.active().size() + lingering,
+          .lingering = lingering,
+          .pending = clients.requests.pending(),
+          .client_bytes = memory.used_bytes() + memory.input_bytes,
+          .customers = balancer_.customer_count(),
+          .counter_calls = counter_ ? counter_->pending_calls() : 0};
+}
+
 void Gateway::on_health_check_end(WorkerId worker, Outcome outcome, Duration elapsed) {
   dispatch([=, this] { balancer_.on_health_check_end(loop_.now(), worker, outcome, elapsed); });
 }
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -12,6 +12,7 @@
 #include "net/event_loop.hpp"
 #include "net/frontend.hpp"
 #include "net/gateway_config.hpp"
+#include "net/gateway_status.hpp"
 #include "net/gossip_socket.hpp"
 #include "net/timer.hpp"
 #include "net/upstream_pool.hpp"
@@ -46,6 +47,7 @@
   void send_attempt(RequestId request, WorkerId worker, Duration timeout) override;
   void reject(RequestId request, Duration retry_after) override;
   void fail(RequestId request) override;
+  void report_unserved(RequestId request, UnservedReason reason, std::size_t attempts) override;
   void cancel_attempt(RequestId request, std::size_t attempt) override;
   void set_timer(Duration when) override;
   void check_health(WorkerId worker) override;
@@ -84,6 +86,8 @@
   void open_frontend(StartupTrigger trigger);
   void remove_gone_workers();
   Exchange* take_exchange(RequestId request);
+  void log_failed_attempt(const AttemptEnd& end) const;
+  StatusGauges status() const;
 
   EventLoop& loop_;
   GatewayConfig config_;
@@ -99,6 +103,7 @@
   Frontend frontend_;
   UpstreamPool upstreams_;
   EndpointDiscovery discovery_;
+  StatusLog status_log_;
   std::unique_ptr<CounterClient> counter_;  // null if no counter service is used
   std::unique_ptr<GossipSocket> gossip_;    // null if the configuration has no address for gossip
 };
--- a/src/net/worker_id_map.cpp
+++ b/src/net/worker_id_map.cpp
@@ -14,4 +14,9 @@
   return id;
 }
 
+std::string_view WorkerIdMap::name_of(WorkerId id) const {
+  const auto found = names_.find(id);
+  return found == names_.end() ? std::string_view() : std::string_view(found->second);
+}
+
 }  // namespace ironquay::net
--- a/src/net/worker_id_map.hpp
+++ b/src/net/worker_id_map.hpp
@@ -15,6 +15,8 @@
   // so that all gateways assign the same id, in whatever order they learn the names. If another worker has
   // that id already, the next free number is assigned.
   WorkerId id_of(std::string_view name);
+  // Returns the name of a worker; empty if no worker has this id.
+  std::string_view name_of(WorkerId id) const;
 
   // Removes the workers whose ids satisfy the predicate and returns these ids. They can be assigned again.
   template <typename Predicate>
--- a/src/policy/effects.hpp
+++ b/src/policy/effects.hpp
@@ -22,6 +22,9 @@
   // Answers the client with an error. Unlike a rejection, it does not promise that sending the request again
   // is safe.
   virtual void fail(RequestId request) = 0;
+  // Reports why the request is about to be answered by reject() or fail(), for the log. `attempts`: the
+  // number of attempts that were sent.
+  virtual void report_unserved(RequestId /*request*/, UnservedReason /*reason*/, std::size_t /*attempts*/) {}
   // Requests a call of LoadBalancer::on_timer() at time `when`. This replaces the previous timer.
   virtual void set_timer(Duration when) = 0;
   // Sends the worker a health check. LoadBalancer::on_health_check_end() reports its result.
--- a/src/policy/load_balancer.cpp
+++ b/src/policy/load_balancer.cpp
@@ -159,7 +159,7 @@
   const QuotaVerdict verdict = quota_.record_and_check(request, slice, incoming.is_retry, now);
   const bool attempt_permitted = quota_.slices().permits_attempt(request, slice);
   if (request.deadline <= now) {
-    reject_or_fail(id, settings_.capabilities.max_retry_after);
+    reject_or_fail(id, settings_.capabilities.max_retry_after, UnservedReason::arrived_late);
   } else if (verdict == QuotaVerdict::take_from_pool && attempt_permitted && now >= slice.earliest_take) {
     quota_.pool().take_for_request(id, request, slice, now);
   } else {
@@ -198,7 +198,7 @@
   const QuotaPlan& plan = settings_.plans[request.plan];
   const bool overage_is_profitable = plan.overage_value_share > plan.overage_cost_share;
   if (!within_quota && (!overage_is_profitable || load() >= kMaxOverQuotaLoad)) {
-    reject_or_fail(id, retry_after);
+    reject_or_fail(id, retry_after, UnservedReason::over_quota);
     return;
   }
   request.over_quota = !within_quota;
@@ -218,21 +218,24 @@
   const bool in_flight = std::any_of(request->attempts.begin(), request->attempts.end(),
                                      [](const Attempt& attempt) { return attempt.in_flight; });
   if (in_flight) return;
-  if (!may_queue(*request)) {
-    reject_or_fail(id, settings_.capabilities.max_retry_after);
+  if (!retry_policy_.allowed_actions(*request, now_).send) {
+    reject_or_fail(id, settings_.capabilities.max_retry_after, UnservedReason::retry_not_allowed);
+    return;
+  }
+  if (is_shed(*request)) {
+    reject_or_fail(id, settings_.capabilities.max_retry_after, UnservedReason::overload);
     return;
   }
   requests_.enqueue(id);
   queue_check_needed_ = true;
 }
 
-bool LoadBalancer::may_queue(const Request& request) {
-  if (!retry_policy_.allowed_actions(request, now_).send) return false;
+bool LoadBalancer::is_shed(const Request& request) {
   const bool may_have_executed =
       std::any_of(request.attempts.begin(), request.attempts.end(),
                   [](const Attempt& attempt) { return attempt.may_have_executed; });
-  if (may_have_executed && load() > kMaxRetryLoad) return false;
-  return overload_.admits(request.queue_rank, random_);
+  if (may_have_executed && load() > kMaxRetryLoad) return true;
+  return !overload_.admits(request.queue_rank, random_);
 }
 
 void LoadBalancer::send_queued() {
@@ -251,13 +254,14 @@
   QuotaSlice& slice = quota_.find_or_create_slice(request.customer, request.plan, 1, now_);
   quota_.slices().refill(slice, now_);
   if (const auto wait = quota_.slices().ceiling_wait(request, slice)) {
-    reject_or_fail(id, *wait);
+    reject_or_fail(id, *wait, UnservedReason::over_ceiling);
     return true;
   }
   // While the request was queued, the deduplication window of an earlier attempt may have ended.
   const bool may_send = retry_policy_.allowed_actions(request, now_).send;
   if (!may_send || now_ + timing_.expected_latency(request) > request.deadline) {
-    reject_or_fail(id, settings_.capabilities.max_retry_after);
+    reject_or_fail(id, settings_.capabilities.max_retry_after,
+                   may_send ? UnservedReason::no_time_left : UnservedReason::retry_not_allowed);
     return true;
   }
   const std::optional<WorkerId> worker = selector_.select(request, now_);
@@ -285,7 +289,8 @@
 }
 
 void LoadBalancer::shed_last_queued() {
-  reject_or_fail(requests_.queue().rbegin()->second, settings_.capabilities.max_retry_after);
+  reject_or_fail(requests_.queue().rbegin()->second, settings_.capabilities.max_retry_after,
+                 UnservedReason::queue_full);
 }
 
 // ---- Responses and final answers
@@ -342,11 +347,13 @@
 }
 
 void LoadBalancer::answer_overdue_request() {
-  reject_or_fail(requests_.earliest_due_request(), settings_.capabilities.max_retry_after);
+  reject_or_fail(requests_.earliest_due_request(), settings_.capabilities.max_retry_after,
+                 UnservedReason::deadline_passed);
 }
 
-void LoadBalancer::reject_or_fail(RequestId id, Duration retry_after) {
+void LoadBalancer::reject_or_fail(RequestId id, Duration retry_after, UnservedReason reason) {
   const Request& request = requests_.at(id);
+  effects_.report_unserved(id, reason, request.attempts.size());
   const AllowedActions allowed = retry_policy_.allowed_actions(request, now_);
   for (const Attempt& attempt : request.attempts) {
     if (!attempt.in_flight) continue;
--- a/src/policy/load_balancer.hpp
+++ b/src/policy/load_balancer.hpp
@@ -76,6 +76,8 @@
 
   // Whether the endpoint list contains the worker, or attempts at it are still in flight.
   bool knows_worker(WorkerId id) const { return workers_.contains(id); }
+  // The number of customers for which quota state is kept.
+  std::size_t customer_count() const { return quota_.slices().size(); }
 
  private:
   friend class LoadBalancerTestAccess;  // gives the tests access to the modules
@@ -110,15 +112,17 @@
   // Admits the request if it is within its quota or if serving it over quota is profitable. Otherwise answers
   // it with the advice to retry after `retry_after`.
   void apply_quota(RequestId id, bool within_quota, Duration retry_after);
-  // Whether the request may be queued for an attempt. May draw a random number.
-  bool may_queue(const Request& request);
+  // Whether the request must be answered without another attempt to reduce the load. May draw a random
+  // number.
+  bool is_shed(const Request& request);
   // Sends an attempt of the queued request, or answers the request if no attempt may be sent any more.
   // Returns false if no worker was found and the request therefore stays queued.
   bool try_send(RequestId id);
   void send_attempt(RequestId id, Request& request, WorkerId worker);
   // Gives the request its final answer without a worker's response: a rejection if the client may safely send
   // the request again, an error otherwise. Removes the request.
-  void reject_or_fail(RequestId id, Duration retry_after);
+  // `reason` is for the log.
+  void reject_or_fail(RequestId id, Duration retry_after, UnservedReason reason);
   // Removes the request from the request table and cancels its attempts in flight.
   void remove_request(RequestId id);
   // The number of requests that may be queued.
--- a/src/policy/quota_slices.hpp
+++ b/src/policy/quota_slices.hpp
@@ -32,6 +32,7 @@
   QuotaSlice& at(const std::string& customer) { return slices_.at(customer); }
   void erase(const std::string& customer) { slices_.erase(customer); }
   bool empty() const { return slices_.empty(); }
+  std::size_t size() const { return slices_.size(); }
 
   // Adds the units that have flowed in since the last call, and decays the measured demand.
   void refill(QuotaSlice& slice, Duration now) const;
--- a/src/policy/types.hpp
+++ b/src/policy/types.hpp
@@ -26,6 +26,18 @@
   invalid_request,   // no worker can execute this request
 };
 
+// Why a request got an answer that is not a worker's response.
+enum class UnservedReason {
+  over_quota,         // the customer's quota does not cover it
+  over_ceiling,       // the plan's hard ceiling does not cover its first attempt
+  arrived_late,       // its time had passed when it was read
+  overload,           // load was shed
+  queue_full,         // too many requests waited for a worker
+  no_time_left,       // a worker would probably respond after the request's deadline
+  retry_not_allowed,  // no further attempt is allowed
+  deadline_passed,    // no worker responded in time, or none was found
+};
+
 enum class WorkerStatus {
   ready,     // accepts requests
   draining,  // shuts down gracefully and accepts no new requests
