--- a/test/net/support/gateway_process.cpp
+++ b/test/net/support/gateway_process.cpp
@@ -36,14 +36,17 @@
 void GatewayProcess::start(const std::string& discovery) {
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
-  posix_spawn_file_actions_addopen(&files, STDERR_FILENO, (directory_ + "/log").c_str(), O_CREAT | O_WRONLY,
-                                   0600);
+  posix_spawn_file_actions_addopen(&files, STDERR_FILENO, (directory_ + "/log").c_str(),
+                                   O_CREAT | O_WRONLY | O_APPEND, 0600);
   std::string program = IRONQUAY_PROGRAM;
-  std::string config_variable = "GW_CONFIG=" + directory_ + "/config.json";
-  std::string discovery_variable = "GW_DISCOVERY=" + discovery;
+  std::vector<std::string> environment = variables_;
+  environment.push_back("GW_CONFIG=" + directory_ + "/config.json");
+  environment.push_back("GW_DISCOVERY=" + discovery);
+  std::vector<char*> variables;
+  for (std::string& variable : environment) variables.push_back(variable.data());
+  variables.push_back(nullptr);
   char* arguments[] = {program.data(), nullptr};
-  char* variables[] = {config_variable.data(), discovery_variable.data(), nullptr};
-  REQUIRE(posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments, variables) == 0);
+  REQUIRE(posix_spawn(&pid_, program.c_str(), &files, nullptr, arguments, variables.data()) == 0);
   posix_spawn_file_actions_destroy(&files);
 }
 
--- a/test/net/support/gateway_process.hpp
+++ b/test/net/support/gateway_process.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace ironquay::net {
 
@@ -20,8 +21,10 @@
 
   /// Writes the configuration file.
   void write_config(std::string_view text) const;
+  /// Adds a variable, in the form NAME=VALUE, to the environment of the program.
+  void set_variable(std::string assignment) { variables_.push_back(std::move(assignment)); }
   /// Starts the program with the configuration written last. `discovery` is the address of the discovery
-  /// service.
+  /// service. May be called again after exit_code().
   void start(const std::string& discovery);
   bool started() const { return pid_ != 0; }
   bool is_running() const;
@@ -62,6 +65,7 @@
   std::string proc_file(const char* name) const;
 
   std::string directory_;
+  std::vector<std::string> variables_;
   pid_t pid_ = 0;  // 0 before start(), -1 after exit_code() has returned the code
 };
 
--- a/test/net/support/test_connection.cpp
+++ b/test/net/support/test_connection.cpp
@@ -17,6 +17,15 @@
   }
 }
 
+void TestConnection::try_send(std::string_view bytes, Milliseconds timeout) {
+  pollfd event{fd_.get(), POLLOUT, 0};
+  while (!bytes.empty() && fd_ && poll(&event, 1, static_cast<int>(timeout.count())) == 1) {
+    const ssize_t sent = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent <= 0) return;
+    bytes.remove_prefix(static_cast<std::size_t>(sent));
+  }
+}
+
 void TestConnection::send_byte_by_byte(std::string_view bytes) {
   for (const char& byte : bytes) send({&byte, 1});
 }
@@ -49,6 +58,15 @@
   return take(position + end.size());
 }
 
+std::string TestConnection::receive_line_until(Clock::time_point deadline) {
+  std::size_t position;
+  while ((position = received_.find("\r\n")) == std::string::npos) {
+    const auto time_left = std::chrono::ceil<Milliseconds>(deadline - Clock::now());
+    if (time_left <= 0ms || !read_more(time_left)) return {};
+  }
+  return take(position + 2);
+}
+
 std::string TestConnection::receive_command() {
   resp::Command command;
   while (resp::parse_command(received_, command) == resp::ParseStatus::incomplete)
@@ -80,8 +98,8 @@
   return poll(&event, 1, 0) == 1 && (event.revents & (POLLERR | POLLHUP));
 }
 
-bool TestConnection::read_more() {
-  if (!fd_ || ended_ || !readable(fd_, kWaitTimeout)) return false;
+bool TestConnection::read_more(Milliseconds timeout) {
+  if (!fd_ || ended_ || !readable(fd_, timeout)) return false;
   char bytes[65536];
   const ssize_t size = recv(fd_.get(), bytes, sizeof bytes, 0);
   ended_ = size <= 0;
--- a/test/net/support/test_connection.hpp
+++ b/test/net/support/test_connection.hpp
@@ -19,6 +19,9 @@
 
   /// Sends all bytes. Fails the test if the peer stops reading. Ignores errors such as a reset.
   void send(std::string_view bytes);
+  /// Sends as many of the bytes as the peer reads within `timeout`. Does not fail the test, so that a thread
+  /// other than that of the test may call it.
+  void try_send(std::string_view bytes, Milliseconds timeout);
   /// Sends each byte separately, so that the peer must handle input that ends at any position.
   void send_byte_by_byte(std::string_view bytes);
   /// Sends the bytes together with the end of stream.
@@ -36,6 +39,8 @@
   std::string receive_until(std::string_view end);
   /// Returns the next line, including its CRLF.
   std::string receive_line() { return receive_until("\r\n"); }
+  /// Returns the next line, including its CRLF. Empty if it does not arrive before `deadline`.
+  std::string receive_line_until(Clock::time_point deadline);
   /// Returns the head of an HTTP message, including the empty line.
   std::string receive_http_head() { return receive_until("\r\n\r\n"); }
   /// Returns the words of the next RESP command, joined by spaces. Empty if the stream ends or a read times
@@ -56,9 +61,8 @@
   const FileDescriptor& fd() const { return fd_; }
 
  private:
-  /// Waits for bytes and appends them to `received_`. Returns false at the end of stream and after
-  /// kWaitTimeout.
-  bool read_more();
+  /// Waits for bytes and appends them to `received_`. Returns false at the end of stream and after `timeout`.
+  bool read_more(Milliseconds timeout = kWaitTimeout);
   /// Removes the first `size` bytes of `received_` and returns them.
   std::string take(std::size_t size);
 
