A request whose client has left is not executed again when its id comes once more

Cause: ids were known only while a request was open. After the disconnect of a client whose keyed or non-idempotent request had been sent to a worker, the same id on a new connection was forwarded once more. Change: AbandonedRequests (src/policy) remembers such ids for the longest client timeout, in a 32nd of the memory for clients; they are answered with the error for a duplicate id.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -171,11 +171,13 @@
 }
 
 // Returns whether a new request with this id can be accepted, and ends an earlier open request with the same
-// id if possible. When a client disconnects and retries on a new connection, the gateway may read the retry
+// id if possible. A request that a worker may have executed for a client that has disconnected is not
+// accepted again. When a client disconnects and retries on a new connection, the gateway may read the retry
 // before the end of stream of the old connection. In that case this function closes the old connection, which
 // ends the earlier request. An earlier request that is not idempotent and has been sent to a worker is not
 // ended.
 bool ClientConnection::try_free_request_id(std::string_view client_request_id) {
+  if (context_.abandoned_requests.contains(client_request_id, context_.loop.now())) return false;
   const ClientRequest* open = context_.requests.find(client_request_id);
   if (!open) return true;
   const Route& route = context_.settings.policy_settings.routes[open->request.route];
@@ -350,7 +352,10 @@
     ClientRequest& request = *owned;
     context_.memory.in_flight_bytes -= request.accounted_bytes;
     context_.requests.finish(std::move(owned));
-    if (!request.has_response()) context_.listener.on_client_disconnect(request);
+    if (request.has_response()) continue;
+    context_.abandoned_requests.on_disconnect(request.request.client_request_id, request.request.route,
+                                              request.attempts_sent, context_.loop.now());
+    context_.listener.on_client_disconnect(request);
   }
 }
 
--- a/src/net/client_context.hpp
+++ b/src/net/client_context.hpp
@@ -11,6 +11,7 @@
 #include "net/event_loop.hpp"
 #include "net/request_listener.hpp"
 #include "net/request_registry.hpp"
+#include "policy/abandoned_requests.hpp"
 #include "policy/types.hpp"
 
 namespace ironquay::net {
@@ -35,17 +36,22 @@
         listener(request_listener),
         memory{.limit_bytes = memory_limit_bytes,
                .connection_share_bytes = memory_limit_bytes / std::max<std::size_t>(max_connections, 1)},
+        abandoned_requests(decoded_settings.policy_settings, memory_limit_bytes / kAbandonedRequestsDivisor),
         limiter(event_loop, connections, max_connections) {}
   ~ClientContext() = default;
   ClientContext(const ClientContext&) = delete;
   ClientContext& operator=(const ClientContext&) = delete;
 
+  // The part of the clients' memory in which abandoned requests are remembered.
+  static constexpr std::size_t kAbandonedRequestsDivisor = 32;
+
   EventLoop& loop;
   const DecodedSettings& settings;
   RequestListener& listener;
   ClientMemory memory;
   DrainState drain;
   RequestRegistry requests;
+  AbandonedRequests abandoned_requests;
   ConnectionTable connections;
   ConnectionLimiter limiter;
   std::function<void()> on_connection_closed;  // called after a connection is closed; set by ClientAcceptor
--- a/test/net/client_disconnect_test.cpp
+++ b/test/net/client_disconnect_test.cpp
@@ -82,6 +82,22 @@
   REQUIRE(reconnected.receives(kDuplicateId));
 }
 
+TEST_CASE("a forwarded request that must not be repeated is not executed again after its client has left") {
+  for (const std::string& request : {pay_request("3"), order_request("3")}) {
+    Deployment deployment(1);
+    TestConnection client = deployment.ready_client();
+    client.send(request);
+    TestConnection worker = deployment.next_attempt().connection;
+    REQUIRE(!worker.receive_command().empty());
+    client.close();
+    REQUIRE(deployment.gateway.logs("reason=client-closed commands=2"));
+    TestConnection reconnected = deployment.ready_client();
+    reconnected.send(request);
+    REQUIRE(reconnected.receives(kDuplicateId));
+    REQUIRE(deployment.no_attempt_for(100ms));
+  }
+}
+
 TEST_CASE("requests whose clients disconnect before the counter replies are not forwarded") {
   Deployment deployment(1);
   deployment.config["settings"]["family_info"]["count_limit"] = 8000;
