Bound the quota state of customers and the pending calls to the counter

A customer's slice and its rebalance were kept for 48 s after the last request, whatever their number, and calls to the counter without a reply had no bound. Change: CustomerTable keeps as many customers as fit into half of the quota state's eighth of memory_mb; a new one takes the place of one that was seen once, or else of the one idle for longest, never of one with an open request. RefillTimes remembers when a dropped slice would have been full, so that its customer does not return to a full burst. Pending calls are bounded by a quarter of the same memory, and by a sixteenth of memory_mb on the connection; records of exhausted pools as well.

--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -16,6 +16,8 @@
 // counter service, so that a connection is open again when the policy resumes its calls.
 constexpr Duration kInitialBackoff = 100ms;
 constexpr Duration kMaxBackoff = 1s;
+// The memory of a call without a response: its command, its entry, and its name.
+constexpr std::size_t kCallBytes = 512;
 // The maximum length of a number, in bytes. The largest double has about 310 digits in decimal notation.
 constexpr std::size_t kMaxNumberLength = 400;
 
@@ -35,17 +37,19 @@
 }  // namespace
 
 CounterClient::CounterClient(EventLoop& loop, const Address& address, Duration call_timeout,
-                             Listener& listener)
+                             std::size_t call_memory_bytes, Listener& listener)
     : loop_(loop),
       address_(address),
       call_timeout_(call_timeout),
+      max_pending_calls_(std::max<std::size_t>(1, call_memory_bytes / kCallBytes)),
       listener_(listener),
       retry_timer_(loop, [this] { connect(); }) {
   connect();
 }
 
 void CounterClient::add(std::string_view name, double amount, Duration lifetime) {
-  if (connection_) return connection_->add(name, add_command(name, amount, lifetime));
+  if (connection_ && pending_calls() < max_pending_calls_)
+    return connection_->add(name, add_command(name, amount, lifetime));
   enqueue_result(nullptr, {std::string(name), Outcome::connect_failed, 0});
   deliver_results();
 }
--- a/src/net/counter_client.hpp
+++ b/src/net/counter_client.hpp
@@ -27,8 +27,10 @@
     virtual void on_counter_reply(const CounterReply& reply) = 0;
   };
 
-  // Starts connecting immediately. A call times out after `call_timeout`.
-  CounterClient(EventLoop& loop, const Address& address, Duration call_timeout, Listener& listener);
+  // Starts connecting immediately. A call times out after `call_timeout`. While calls without a response use
+  // more than `call_memory_bytes`, further ones fail at once.
+  CounterClient(EventLoop& loop, const Address& address, Duration call_timeout, std::size_t call_memory_bytes,
+                Listener& listener);
 
   // Adds `amount` units to the count `name`, which expires `lifetime` after its first use. The result is
   // reported to the listener; without a connection it is Outcome::connect_failed.
@@ -52,6 +54,7 @@
   EventLoop& loop_;
   Address address_;
   Duration call_timeout_;
+  std::size_t max_pending_calls_;
   Listener& listener_;
   // The connection for new calls; null while the client waits to reconnect.
   std::unique_ptr<CounterConnection> connection_;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -27,6 +27,10 @@
 constexpr std::size_t kRequestMemoryDivisor = 4;
 constexpr std::size_t kResponseMemoryDivisor = 8;
 
+// An eighth is for quota state, and a sixteenth for calls that the counter service has not answered.
+constexpr std::size_t kQuotaMemoryDivisor = 8;
+constexpr std::size_t kCounterMemoryDivisor = 16;
+
 // How long the gateway waits at startup for a response from discovery, because the cached endpoint list may
 // be outdated. The deployment platform expects a restarted gateway to be ready within 10 s.
 constexpr Duration kDiscoveryStartupTimeout = 9s;
@@ -54,6 +58,12 @@
   return capabilities(config).polls_endpoints ? DiscoveryKind::shared_service : DiscoveryKind::local_agent;
 }
 
+PolicySettings policy_settings(const GatewayConfig& config) {
+  PolicySettings settings = config.settings.policy_settings;
+  settings.quota_memory_bytes = config.memory_limit_bytes / kQuotaMemoryDivisor;
+  return settings;
+}
+
 // The load balancer is seeded with the two halves of the seed combined by XOR, discovery with the lower half,
 // so that their random numbers differ.
 std::uint32_t balancer_seed(const GatewayConfig& config) {
@@ -66,7 +76,7 @@
 Gateway::Gateway(EventLoop& loop, GatewayConfig config, std::function<void()> on_ready)
     : loop_(loop),
       config_(std::move(config)),
-      balancer_(config_.settings.policy_settings, balancer_seed(config_), loop.now(), *this),
+      balancer_(policy_settings(config_), balancer_seed(config_), loop.now(), *this),
       policy_timer_(loop, [this] { dispatch([this] { balancer_.on_timer(loop_.now()); }); }),
       startup_timer_(loop, [this] { open_frontend(StartupTrigger::discovery_timed_out); }),
       on_ready_(std::move(on_ready)),
@@ -78,8 +88,8 @@
   discovery_.load_cached(std::exchange(config_.cached_endpoints, nullptr));
   discovery_.start();
   if (config_.counter && capabilities(config_).counter)
-    counter_ =
-        std::make_unique<CounterClient>(loop, *config_.counter, capabilities(config_).counter_timeout, *this);
+    counter_ = std::make_unique<CounterClient>(loop, *config_.counter, capabilities(config_).counter_timeout,
+                                               config_.memory_limit_bytes / kCounterMemoryDivisor, *this);
   if (config_.gossip_listen)
     gossip_ = std::make_unique<GossipSocket>(loop, *config_.gossip_listen, config_.gossip_peers,
                                              config_.gossip_broadcast, *this);
--- a/src/policy/exhausted_pools.cpp
+++ b/src/policy/exhausted_pools.cpp
@@ -1,5 +1,6 @@
 #include "policy/exhausted_pools.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include "policy/fnv1a.hpp"
@@ -38,8 +39,10 @@
 // Removes the expired records when the number of records has reached twice the number after the last removal,
 // plus kMinCleanupSize. The cost of a removal is thus distributed over many insertions.
 void ExhaustedPools::insert_key(Key key, Duration now) {
-  expirations_[key] = now + kExhaustedDuration;
-  if (expirations_.size() < 2 * size_after_cleanup_ + kMinCleanupSize) return;
+  if (expirations_.size() < max_records_ || expirations_.contains(key))
+    expirations_[key] = now + kExhaustedDuration;
+  const std::size_t cleanup_size = std::min(2 * size_after_cleanup_ + kMinCleanupSize, max_records_);
+  if (expirations_.size() < cleanup_size) return;
   std::erase_if(expirations_, [now](const auto& entry) { return entry.second <= now; });
   size_after_cleanup_ = expirations_.size();
 }
--- a/src/policy/exhausted_pools.hpp
+++ b/src/policy/exhausted_pools.hpp
@@ -1,6 +1,7 @@
 // Records the customers whose shared pool of quota is exhausted. The gateway learns this from its own calls
 // to the counter and from the gossip of other gateways.
 #pragma once
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,6 +13,9 @@
 
 class ExhaustedPools {
  public:
+  // No more than `max_records` are kept. Further ones are not recorded; the gateway then asks the counter.
+  explicit ExhaustedPools(std::size_t max_records) : max_records_(max_records) {}
+
   // Whether there is an unexpired record that the customer's pool is exhausted.
   bool contains(std::string_view customer, Duration now) const;
   // Records that the customer's pool is exhausted. The record expires after 8 s.
@@ -30,6 +34,7 @@
   static Key key(std::string_view customer);
   void insert_key(Key key, Duration now);
 
+  std::size_t max_records_;
   std::unordered_map<Key, Duration> expirations_;  // times at which the records expire
   std::size_t size_after_cleanup_ = 0;             // number of records after expired ones were last removed
 };
--- a/src/policy/load_balancer.cpp
+++ b/src/policy/load_balancer.cpp
@@ -156,6 +156,7 @@
   QuotaSlice& slice =
       quota_.find_or_create_slice(request.customer, request.plan, incoming.gateway_spread, now);
   slice.first_gateway = incoming.first_gateway;
+  quota_.slices().request_started(request.customer);
   const QuotaVerdict verdict = quota_.record_and_check(request, slice, incoming.is_retry, now);
   const bool attempt_permitted = quota_.slices().permits_attempt(request, slice);
   if (request.deadline <= now) {
@@ -251,7 +252,7 @@
 
 bool LoadBalancer::try_send(RequestId id) {
   Request& request = requests_.at(id);
-  QuotaSlice& slice = quota_.find_or_create_slice(request.customer, request.plan, 1, now_);
+  QuotaSlice& slice = quota_.slices().at(request.customer);
   quota_.slices().refill(slice, now_);
   if (const auto wait = quota_.slices().ceiling_wait(request, slice)) {
     reject_or_fail(id, *wait, UnservedReason::over_ceiling);
@@ -380,6 +381,7 @@
     if (settings_.capabilities.cancel) effects_.cancel_attempt(id, i);
     quota_.slices().attempt_ended(request);
   }
+  quota_.slices().request_ended(request.customer);
   requests_.erase(id);
 }
 
--- a/src/policy/quota_allocator.cpp
+++ b/src/policy/quota_allocator.cpp
@@ -1,7 +1,5 @@
 #include "policy/quota_allocator.hpp"
 
-#include <utility>
-
 namespace ironquay {
 namespace {
 
@@ -21,7 +19,7 @@
 QuotaSlice& QuotaAllocator::find_or_create_slice(const std::string& customer, std::size_t plan,
                                                  int gateway_spread, Duration now) {
   const auto [slice, created] = slices_.find_or_create(customer, plan, gateway_spread, now);
-  if (created) rebalances_.emplace(now + kRebalanceInterval, customer);
+  if (created) slices_.schedule_rebalance(customer, now + kRebalanceInterval);
   return slice;
 }
 
@@ -47,21 +45,15 @@
   return QuotaVerdict::within_quota;
 }
 
-Duration QuotaAllocator::next_rebalance() const {
-  return rebalances_.empty() ? Duration::max() : rebalances_.begin()->first;
-}
-
 void QuotaAllocator::rebalance_next(Duration now) {
-  const std::string customer = std::move(rebalances_.begin()->second);
-  rebalances_.erase(rebalances_.begin());
-  QuotaSlice* slice = slices_.find(customer);
-  if (slice == nullptr) return;
-  if (now - slice->last_used_at > QuotaPool::kPeriod) {
-    slices_.erase(customer);
+  const std::string customer = slices_.next_to_rebalance();
+  QuotaSlice& slice = slices_.at(customer);
+  if (now - slice.last_used_at > QuotaPool::kPeriod) {
+    slices_.drop(customer, now);
     return;
   }
-  pool_.contribute_surplus(customer, *slice, now);
-  rebalances_.emplace(now + kRebalanceInterval, customer);
+  pool_.contribute_surplus(customer, slice, now);
+  slices_.schedule_rebalance(customer, now + kRebalanceInterval);
 }
 
 }  // namespace ironquay
--- a/src/policy/quota_allocator.hpp
+++ b/src/policy/quota_allocator.hpp
@@ -6,8 +6,6 @@
 // surplus units of the slice to the customer's pool on the counter service (QuotaPool). If the slice does not
 // hold the units of a request, the gateway takes them from the pool.
 #pragma once
-#include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -47,9 +45,9 @@
   QuotaVerdict record_and_check(const Request& request, QuotaSlice& slice, bool is_retry, Duration now);
 
   // The time of the next rebalance; Duration::max() if there are no slices.
-  Duration next_rebalance() const;
+  Duration next_rebalance() const { return slices_.next_rebalance(); }
   // Performs the earliest scheduled rebalance: contributes the surplus of the slice to the customer's pool,
-  // or erases the slice if the customer has sent no request for QuotaPool::kPeriod. At least one rebalance
+  // or drops the slice if the customer has sent no request for QuotaPool::kPeriod. At least one rebalance
   // must be scheduled.
   void rebalance_next(Duration now);
 
@@ -59,7 +57,6 @@
   CounterHealth counter_health_;
   QuotaSlices slices_;
   QuotaPool pool_;
-  std::multimap<Duration, std::string> rebalances_;  // customers by the time of their next rebalance
 };
 
 }  // namespace ironquay
--- a/src/policy/quota_pool.cpp
+++ b/src/policy/quota_pool.cpp
@@ -82,6 +82,7 @@
   if (pending == pending_calls_.end() || pending->second.empty()) return std::nullopt;
   const CounterCall call = std::move(pending->second.front());
   pending->second.pop_front();
+  --pending_call_count_;
   if (pending->second.empty()) pending_calls_.erase(pending);
   counter_health_.record(reply.outcome, call.sent_at, now);
 
@@ -184,6 +185,7 @@
   call.amount = amount;
   call.sent_at = now;
   pending_calls_[std::string(name)].push_back(std::move(call));
+  ++pending_call_count_;
   effects_.add_to_counter(name, amount, kPoolNameLifetime);
 }
 
@@ -195,7 +197,7 @@
 // The surplus is the slice's inflow over kSurplusSeconds that exceeds demand and its headroom. The slice
 // keeps at least the units of one request of peak size.
 void QuotaPool::contribute_surplus(const std::string& customer, QuotaSlice& slice, Duration now) {
-  if (slice.pooled_share <= 0 || !counter_health_.available(now)) return;
+  if (slice.pooled_share <= 0 || !counter_health_.available(now) || has_too_many_calls()) return;
   slices_.refill(slice, now);
   const double local_rate = slice.rate * (1 - slice.pooled_share);
   const double unused = (local_rate / kDemandHeadroomDivisor - slice.demand_rate) * kSurplusSeconds;
--- a/src/policy/quota_pool.hpp
+++ b/src/policy/quota_pool.hpp
@@ -58,13 +58,18 @@
         slices_(slices),
         counter_health_(counter_health),
         random_(random),
-        effects_(effects) {}
+        effects_(effects),
+        memory_(settings.quota_memory_bytes),
+        exhausted_(memory_.max_exhausted_pools) {}
 
   // Updates the mean size of requests with an arriving request of `units`.
   void record_request(double units);
   // Decides at random whether the counter is called for a request that its slice does not cover. The
-  // probability is lower while CounterHealth::call_share() is below 1.
-  bool should_call_counter(const Request& request) { return random_.chance(call_probability(request)); }
+  // probability is lower while CounterHealth::call_share() is below 1. Always false while too many calls are
+  // pending.
+  bool should_call_counter(const Request& request) {
+    return random_.chance(call_probability(request)) && !has_too_many_calls();
+  }
   // Whether a request that its slice does not cover, and for which the counter is not called, may be
   // admitted.
   bool may_admit_uncounted(const Request& request, const QuotaSlice& slice, Duration now) const;
@@ -89,6 +94,7 @@
  private:
   friend class QuotaPoolTestAccess;
 
+  bool has_too_many_calls() const { return pending_call_count_ >= memory_.max_pending_calls; }
   double call_probability(const Request& request) const;
   void on_take_reply(const CounterCall& call, std::string_view name, std::optional<double> total,
                      double shortfall, Duration now);
@@ -106,11 +112,13 @@
   CounterHealth& counter_health_;
   RandomSource& random_;
   Effects& effects_;
+  QuotaMemory memory_;
   ExhaustedPools exhausted_;
   // Calls by counter name, the oldest first.
   std::unordered_map<std::string, std::deque<CounterCall>> pending_calls_;
-  double mean_request_units_ = 0;      // exponential average over arriving requests; 0 before the first one
-  Duration earliest_announcement_{0};  // time before which no exhausted pool is announced
+  std::size_t pending_call_count_ = 0;  // the calls in pending_calls_
+  double mean_request_units_ = 0;       // exponential average over arriving requests; 0 before the first one
+  Duration earliest_announcement_{0};   // time before which no exhausted pool is announced
 };
 
 }  // namespace ironquay
--- a/src/policy/quota_slices.cpp
+++ b/src/policy/quota_slices.cpp
@@ -14,6 +14,8 @@
 // largest size. A smaller number would pool less, and slices would reject requests while other slices hold
 // unused units.
 constexpr double kRequestsForHalfPooling = 8;
+// The longest time that is assumed until a dropped slice would be full.
+constexpr double kMaxRefillSeconds = 3600;
 // The lowest rate that time_to_cover() assumes, in units per second. It makes the result finite for a slice
 // without inflow.
 constexpr double kMinRate = 1e-3;
@@ -27,10 +29,13 @@
 
 QuotaSlices::Lookup QuotaSlices::find_or_create(const std::string& customer, std::size_t plan_index,
                                                 int gateway_spread, Duration now) {
-  const auto [entry, created] = slices_.try_emplace(customer);
-  QuotaSlice& slice = entry->second;
+  if (QuotaSlice* known = customers_.find(customer)) {
+    known->last_used_at = now;
+    return {*known, false};
+  }
+  if (const std::string* displaced = customers_.displaced_by_insertion()) drop(std::string(*displaced), now);
+  QuotaSlice& slice = customers_.insert(customer);
   slice.last_used_at = now;
-  if (!created) return {slice, false};
   const QuotaPlan& plan = settings_.plans[plan_index];
   slice.plan = plan_index;
   slice.gateway_share = 1.0 / std::max(1, gateway_spread);
@@ -40,21 +45,38 @@
         1 / (1 + plan.burst * slice.gateway_share / (kRequestsForHalfPooling * settings_.max_units));
   }
   // `ceiling_tokens` starts at zero: a full burst after every restart would exceed the ceiling.
-  slice.tokens = plan.burst * slice.gateway_share * (1 - effective_pooled_share(slice, now));
+  const double missing = to_seconds(refill_times_.time_to_full(customer, now)) * inflow(slice, now);
+  slice.tokens = std::max(initial_tokens(slice, now) - missing, -settings_.max_units);
   slice.refilled_at = now;
   return {slice, true};
 }
 
-QuotaSlice* QuotaSlices::find(const std::string& customer) {
-  const auto found = slices_.find(customer);
-  return found == slices_.end() ? nullptr : &found->second;
+QuotaSlice* QuotaSlices::find(const std::string& customer) { return customers_.find(customer); }
+
+void QuotaSlices::drop(const std::string& customer, Duration now) {
+  QuotaSlice* slice = customers_.find(customer);
+  if (slice == nullptr) return;
+  refill(*slice, now);
+  const double missing = initial_tokens(*slice, now) - slice->tokens + slice->uncounted_units;
+  const double rate = inflow(*slice, now);
+  if (missing > 0 && rate > 0)
+    refill_times_.record(customer, now + from_seconds(std::min(missing / rate, kMaxRefillSeconds)));
+  customers_.erase(customer);
+}
+
+double QuotaSlices::initial_tokens(const QuotaSlice& slice, Duration now) const {
+  return settings_.plans[slice.plan].burst * slice.gateway_share * (1 - effective_pooled_share(slice, now));
+}
+
+double QuotaSlices::inflow(const QuotaSlice& slice, Duration now) const {
+  return slice.rate * (1 - effective_pooled_share(slice, now));
 }
 
 void QuotaSlices::refill(QuotaSlice& slice, Duration now) const {
   const QuotaPlan& plan = settings_.plans[slice.plan];
   const double elapsed = to_seconds(now - slice.refilled_at);
   slice.refilled_at = now;
-  const double rate = slice.rate * (1 - effective_pooled_share(slice, now));
+  const double rate = inflow(slice, now);
   const double capacity =
       plan.rate > 0 ? std::max(plan.burst * rate / plan.rate, slice.peak_request_units) : 0;
   // Tokens above the capacity were taken from the pool; they are kept.
@@ -93,7 +115,7 @@
 }
 
 void QuotaSlices::charge(const Request& request) {
-  if (settings_.plans[request.plan].rate > 0) slices_.at(request.customer).tokens -= request.units;
+  if (settings_.plans[request.plan].rate > 0) at(request.customer).tokens -= request.units;
 }
 
 void QuotaSlices::refund(const Request& request) {
@@ -109,7 +131,7 @@
 }
 
 void QuotaSlices::attempt_started(const Request& request) {
-  QuotaSlice& slice = slices_.at(request.customer);
+  QuotaSlice& slice = at(request.customer);
   if (request.attempts.empty()) slice.ceiling_tokens -= request.units;
   ++slice.attempts_in_flight;
 }
--- a/src/policy/quota_slices.hpp
+++ b/src/policy/quota_slices.hpp
@@ -3,10 +3,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 #include "policy/counter_health.hpp"
+#include "policy/customer_table.hpp"
+#include "policy/quota_memory.hpp"
 #include "policy/quota_slice.hpp"
+#include "policy/refill_times.hpp"
 #include "policy/request.hpp"
 #include "policy/settings.hpp"
 
@@ -14,25 +16,39 @@
 
 class QuotaSlices {
  public:
-  // Both arguments must outlive the slices.
+  // Both arguments must outlive the slices. The number of slices is bounded by
+  // PolicySettings::quota_memory_bytes.
   QuotaSlices(const PolicySettings& settings, const CounterHealth& counter_health)
-      : settings_(settings), counter_health_(counter_health) {}
+      : QuotaSlices(settings, counter_health, QuotaMemory(settings.quota_memory_bytes)) {}
 
   struct Lookup {
     QuotaSlice& slice;
     bool created;  // whether this lookup created the slice
   };
   // Returns the customer's slice and marks it as used now. A new slice starts with its part of the burst,
-  // less the pooled share. `plan`: index into PolicySettings::plans; `gateway_spread`: number of the
-  // customer's gateways.
+  // less the pooled share and less the units that an earlier slice of the customer had not got back when it
+  // was dropped. If there are too many slices, another customer's slice is dropped. `plan`: index into
+  // PolicySettings::plans; `gateway_spread`: number of the customer's gateways.
   Lookup find_or_create(const std::string& customer, std::size_t plan, int gateway_spread, Duration now);
   // Null if there is no slice for the customer.
   QuotaSlice* find(const std::string& customer);
   // Throws std::out_of_range if there is no slice for the customer.
-  QuotaSlice& at(const std::string& customer) { return slices_.at(customer); }
-  void erase(const std::string& customer) { slices_.erase(customer); }
-  bool empty() const { return slices_.empty(); }
-  std::size_t size() const { return slices_.size(); }
+  QuotaSlice& at(const std::string& customer) { return customers_.at(customer); }
+  // Drops the customer's slice.
+  void drop(const std::string& customer, Duration now);
+  bool empty() const { return customers_.size() == 0; }
+  std::size_t size() const { return customers_.size(); }
+
+  // A request of the customer is open. Its slice is not dropped until request_ended().
+  void request_started(const std::string& customer) { customers_.request_started(customer); }
+  void request_ended(const std::string& customer) { customers_.request_ended(customer); }
+
+  // The rebalances of the slices; see CustomerTable.
+  void schedule_rebalance(const std::string& customer, Duration when) {
+    customers_.schedule_rebalance(customer, when);
+  }
+  Duration next_rebalance() const { return customers_.next_rebalance(); }
+  const std::string& next_to_rebalance() const { return customers_.next_to_rebalance(); }
 
   // Adds the units that have flowed in since the last call, and decays the measured demand.
   void refill(QuotaSlice& slice, Duration now) const;
@@ -64,9 +80,21 @@
   void attempt_ended(const Request& request);
 
  private:
+  QuotaSlices(const PolicySettings& settings, const CounterHealth& counter_health, const QuotaMemory& memory)
+      : settings_(settings),
+        counter_health_(counter_health),
+        customers_(memory.max_customers),
+        refill_times_(memory.refill_times) {}
+
+  // The units that the slice of a new customer holds.
+  double initial_tokens(const QuotaSlice& slice, Duration now) const;
+  // The units that flow into the slice per second.
+  double inflow(const QuotaSlice& slice, Duration now) const;
+
   const PolicySettings& settings_;
   const CounterHealth& counter_health_;
-  std::unordered_map<std::string, QuotaSlice> slices_;
+  CustomerTable customers_;
+  RefillTimes refill_times_;
 };
 
 // Returns the time after which a rejected client is advised to retry: `seconds`, but at most one minute.
--- a/src/policy/settings.hpp
+++ b/src/policy/settings.hpp
@@ -1,8 +1,10 @@
 // The settings for routing and quota decisions, decoded once when a gateway starts.
 //
-// Every value comes from the operators' settings object; src/config/settings_decoder.cpp maps its keys to
-// these fields. "The platform" in this file is the operators' environment in which gateways and workers run.
+// Every value but quota_memory_bytes comes from the operators' settings object;
+// src/config/settings_decoder.cpp maps its keys to these fields. "The platform" in this file is the
+// operators' environment in which gateways and workers run.
 #pragma once
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -73,11 +75,12 @@
   Capabilities capabilities;
   int gateway_index = 0;  // this gateway's index, from 0 to gateway_count - 1
   int gateway_count = 1;
-  std::string zone;                   // the zone of this gateway
-  double max_units = 1;               // the largest number of units that one request may use
-  double cross_zone_cost = 0;         // cost of sending an attempt to a worker in another zone; 0: none
-  bool reports_actual_units = false;  // true if responses report the units that a request used
-  Duration tick{0};                   // granularity of the clocks of gateways and workers
+  std::string zone;                    // the zone of this gateway
+  double max_units = 1;                // the largest number of units that one request may use
+  double cross_zone_cost = 0;          // cost of sending an attempt to a worker in another zone; 0: none
+  bool reports_actual_units = false;   // true if responses report the units that a request used
+  std::size_t quota_memory_bytes = 0;  // memory for quota state, a part of the process's limit; 0: unlimited
+  Duration tick{0};                    // granularity of the clocks of gateways and workers
 };
 
 }  // namespace ironquay
--- a/test/policy/support.hpp
+++ b/test/policy/support.hpp
@@ -59,6 +59,7 @@
   // Adds a contribution of no units that awaits the counter's reply.
   void add_pending_contribution(const std::string& name, const std::string& customer, Duration sent_at) {
     pool_.pending_calls_[name].push_back({CounterPurpose::contribute_surplus, customer, 0, 0, 0, sent_at});
+    ++pool_.pending_call_count_;
   }
 
  private:
@@ -70,7 +71,7 @@
  public:
   explicit QuotaAllocatorTestAccess(QuotaAllocator& quota) : quota_(quota) {}
   CounterHealth& counter_health() { return quota_.counter_health_; }
-  bool has_rebalances() const { return !quota_.rebalances_.empty(); }
+  bool has_rebalances() const { return quota_.next_rebalance() != Duration::max(); }
 
  private:
   QuotaAllocator& quota_;
