A drain waits for received commands that are not processed yet

Cause: since input is processed in turns, commands may wait in a connection's buffer. A drain that had outlasted the linger timeout looked only at unwritten responses, and ended the process between the write of one response and the turn of the next command. In the same moment, after reading was resumed and before the turn, complete commands counted as an incomplete one. Change: ClientConnection::has_unfinished_commands; resuming marks the input as unprocessed.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -146,6 +146,7 @@
 void ClientConnection::resume_reading_if_possible() {
   if (!paused_ || !may_resume_reading()) return;
   paused_ = false;
+  has_unprocessed_input_ = true;
   schedule_turn();
 }
 
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -75,6 +75,10 @@
   // half-closed, whichever is latest.
   bool is_idle_for(Duration time) const { return context_.loop.now() - idle_since_ >= time; }
   bool all_responses_written() const { return pipeline_.empty() && stream_.all_written(); }
+  // Whether commands have been received that are not processed or whose responses are not written.
+  bool has_unfinished_commands() const {
+    return !all_responses_written() || (!stream_.unread().empty() && (paused_ || has_unprocessed_input_));
+  }
   // Whether a part of a command has been received and the gateway waits for the rest.
   bool has_incomplete_command() const {
     return !stream_.unread().empty() && !paused_ && !has_unprocessed_input_ && !is_closing();
@@ -90,7 +94,7 @@
   bool has_room_for_value(const ClientRequest& request, std::size_t bytes) const;
   // Whether the system has neither bytes nor an end of stream to read.
   bool nothing_to_read() const { return stream_.nothing_to_read(); }
-  // Whether the next read would return the end of stream or an error.
+  // Whether the client has closed its side, or the connection is broken.
   bool peer_has_disconnected() const { return stream_.peer_has_disconnected(); }
 
   ConnectionTable::Position table_position;  // position in its table; set by ConnectionTable
@@ -142,7 +146,7 @@
   bool in_read_batch_ = false;
   bool paused_ = false;                 // no commands are processed until there is room for their responses
   bool turn_is_over_ = false;           // set while input is processed
-  bool has_unprocessed_input_ = false;  // the turn was over before all received commands were processed
+  bool has_unprocessed_input_ = false;  // received commands wait for the next turn
   std::size_t command_count_ = 0;       // complete commands received on this connection
   std::size_t discarded_bytes_ = 0;     // input discarded since begin_close()
   std::size_t accounted_input_bytes_ = 0;      // this connection's share of ClientMemory::input_bytes
--- a/src/net/client_drain.cpp
+++ b/src/net/client_drain.cpp
@@ -88,16 +88,17 @@
 }
 
 // Whether the drain must wait because clients may still send on open connections. After kAcceptPeriod, it
-// waits for at most the linger timeout if all responses have been written, and for a longer time otherwise.
+// waits for at most the linger timeout if all received commands have been answered, and for a longer time
+// otherwise.
 bool ClientDrain::must_wait_for_clients() const {
   const ConnectionTable& connections = context_.connections;
   if (connections.empty()) return false;
-  const bool has_unwritten_responses =
+  const bool has_unfinished_commands =
       std::any_of(connections.active().begin(), connections.active().end(),
-                  [](const auto& connection) { return !connection->all_responses_written(); });
+                  [](const auto& connection) { return connection->has_unfinished_commands(); });
   const Duration linger = context_.drain.linger_timeout;
   const Duration longest_wait =
-      kAcceptPeriod + (has_unwritten_responses ? std::max(linger, kUnreadResponseTimeout) : linger);
+      kAcceptPeriod + (has_unfinished_commands ? std::max(linger, kUnreadResponseTimeout) : linger);
   return context_.loop.now() - context_.drain.began_at <= longest_wait;
 }
 
