Send no attempt for a client that has closed its connection

The gateway acts on a close when it handles the event. After a hold-up, events that wait before it (a worker's reset, the counter's reply, a response that frees a place in the queue, an established connection) began attempts for a client that was long gone. Change: Gateway asks the system, before it sends an attempt or writes one that has waited, whether the client has closed (poll for POLLRDHUP, which sees an end of stream behind unread bytes as well).

--- a/src/net/client_request.cpp
+++ b/src/net/client_request.cpp
@@ -24,6 +24,10 @@
 
 void ClientRequest::fail() { respond({"-ERR failed\r\n"}); }
 
+bool ClientRequest::client_has_disconnected() const {
+  return !connection_ || connection_->peer_has_disconnected();
+}
+
 void ClientRequest::respond(std::initializer_list<std::string_view> parts) {
   if (std::exchange(has_response_, true)) return;
   unregister_id();
--- a/src/net/client_request.hpp
+++ b/src/net/client_request.hpp
@@ -24,6 +24,7 @@
   void respond_with_value(std::string_view raw_value) override;
   void reject(Duration retry_after) override;
   void fail() override;
+  bool client_has_disconnected() const override;
   // Passes the concatenated `parts` to the connection as the response. Does nothing if there is a response
   // already.
   void respond(std::initializer_list<std::string_view> parts);
--- a/src/net/exchange.hpp
+++ b/src/net/exchange.hpp
@@ -22,6 +22,10 @@
   // Responds with an error. The client cannot tell from it whether the request was executed.
   virtual void fail() = 0;
 
+  // Whether the client has closed its connection, even if the gateway has not handled this event yet. Makes a
+  // system call.
+  virtual bool client_has_disconnected() const = 0;
+
   // Copies the text that the views in `request` point to, and makes the views point to the copy. Without this
   // call, the views are valid only until RequestListener::on_request() returns.
   void copy_buffers();
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -153,11 +153,23 @@
   const auto found = open_requests_.find(request);
   if (found == open_requests_.end()) return;
   Exchange& exchange = *found->second;
-  const std::size_t attempt = exchange.attempts_sent++;
+  const std::size_t attempt = exchange.attempts_sent;
+  // The client may have closed while this iteration was held up. Its connection's event follows.
+  if (exchange.client_has_disconnected()) return abandon_attempt(request, attempt, worker);
+  ++exchange.attempts_sent;
   ++status_log_.counters.attempts;
   upstreams_.send_attempt(exchange, attempt, worker, timeout);
 }
 
+// Ends an attempt that has not been sent together with its request, because the client no longer waits.
+void Gateway::abandon_attempt(RequestId request, std::size_t attempt, WorkerId worker) {
+  take_exchange(request);
+  ++status_log_.counters.disconnected;
+  constexpr bool kRequestFinished = true;
+  const AttemptResult result{request, attempt, worker, Outcome::not_sent, Duration(0), kRequestFinished, 0};
+  dispatch([this, result] { balancer_.on_attempt_end(loop_.now(), result); });
+}
+
 void Gateway::reject(RequestId request, Duration retry_after) {
   Exchange* exchange = take_exchange(request);
   if (!exchange) return;
@@ -238,7 +250,9 @@
 }
 
 bool Gateway::may_send_attempt(RequestId request, std::size_t attempt) {
-  return balancer_.may_send_attempt(loop_.now(), request, attempt);
+  const auto found = open_requests_.find(request);
+  const bool client_waits = found != open_requests_.end() && !found->second->client_has_disconnected();
+  return client_waits && balancer_.may_send_attempt(loop_.now(), request, attempt);
 }
 
 // If the outcome ends the request, answers the client first and then notifies the load balancer.
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -86,6 +86,7 @@
   void open_frontend(StartupTrigger trigger);
   void remove_gone_workers();
   Exchange* take_exchange(RequestId request);
+  void abandon_attempt(RequestId request, std::size_t attempt, WorkerId worker);
   void log_failed_attempt(const AttemptEnd& end) const;
   StatusGauges status() const;
 
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -1,5 +1,6 @@
 #include "net/tcp_stream.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -107,9 +108,12 @@
 }
 
 bool TcpStream::peer_has_disconnected() const {
-  char next = 0;
-  const ssize_t received = recv(socket_.get(), &next, 1, MSG_PEEK);
-  return received == 0 || (received < 0 && errno != EAGAIN);
+  pollfd state{socket_.get(), POLLRDHUP, 0};
+  int ready = 0;
+  do {
+    ready = poll(&state, 1, 0);
+  } while (ready < 0 && errno == EINTR);
+  return ready > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR));
 }
 
 }  // namespace ironquay::net
--- a/src/net/tcp_stream.hpp
+++ b/src/net/tcp_stream.hpp
@@ -98,7 +98,8 @@
   bool receive_buffer_drained() const { return receive_buffer_drained_; }
   // Whether the system has neither bytes nor an end of stream to read. Makes a system call.
   bool nothing_to_read() const;
-  // Whether the next read would return the end of stream or an error. Makes a system call.
+  // Whether the peer has closed its side or the connection is broken, even if bytes before that are unread.
+  // Makes a system call.
   bool peer_has_disconnected() const;
 
  private:
--- a/test/net/client_disconnect_test.cpp
+++ b/test/net/client_disconnect_test.cpp
@@ -120,5 +120,63 @@
   REQUIRE(deployment.no_attempt_for(100ms));
 }
 
+/// Longer than an attempt may begin after its client has closed.
+constexpr Milliseconds kHoldUp = 150ms;
+
+/// Makes `event` and then the close of the client wait together for the gateway, which reads them in this
+/// order, over 0.1 s after the close.
+template <typename Event>
+void close_after(Deployment& deployment, TestConnection& client, Event event, bool reset = false) {
+  deployment.gateway.pause();
+  event();
+  reset ? client.reset() : client.close();
+  std::this_thread::sleep_for(kHoldUp);
+  deployment.gateway.resume();
+}
+
+TEST_CASE("no attempt begins for a client that has left while the gateway was held up") {
+  Deployment deployment(1);
+  deployment.config["settings"]["family_info"]["count_limit"] = 8000;
+  set_client_timeout_and_objective(deployment.config["settings"], 8000);
+  SECTION("unread requests before the end of stream") {
+    std::string requests;
+    for (int i = 0; i < 300; ++i) requests += lookup_request(std::to_string(i));
+    const bool reset = GENERATE(false, true);
+    TestConnection client = deployment.ready_client();
+    close_after(
+        deployment, client, [&] { client.send(requests); }, reset);
+  }
+  SECTION("a retry after a failed attempt") {
+    TestConnection client = deployment.ready_client();
+    client.send(lookup_with_timeout("1", 8000));
+    TestConnection worker = deployment.next_attempt().connection;
+    REQUIRE(!worker.receive_command().empty());
+    close_after(deployment, client, [&] { worker.close(); });
+  }
+  SECTION("a request that waits for the counter") {
+    TestConnection client = deployment.ready_client();
+    TestConnection counter = deployment.counter.accept();
+    client.send(small_plan_lookup("1", 8, 8000));
+    REQUIRE_THAT(counter.receive_command(), StartsWith("CNT.ADD"));
+    close_after(deployment, client, [&] { counter.send(bulk_string("1")); });
+  }
+  SECTION("a queued request") {
+    constexpr std::size_t kInFlight = 3;  // the worker's limit at first
+    std::vector<TestConnection> clients = deployment.ready_clients(kInFlight + 1);
+    std::vector<TestConnection> attempts;
+    for (std::size_t i = 0; i <= kInFlight; ++i) {
+      clients[i].send(lookup_with_timeout(std::to_string(i), 8000));
+      if (i < kInFlight) attempts.push_back(deployment.next_attempt().connection);
+    }
+    for (TestConnection& attempt : attempts) REQUIRE(!attempt.receive_command().empty());
+    REQUIRE(deployment.no_attempt_for(50ms));
+    close_after(deployment, clients.back(), [&] { attempts[0].send(worker_reply("v")); });
+    REQUIRE(clients[0].receives(bulk_string("v")));
+    REQUIRE(attempts[0].receives_nothing_for(100ms));
+  }
+  REQUIRE(deployment.gateway.logs("peer=client"));
+  REQUIRE(deployment.no_attempt_for(100ms));
+}
+
 }  // namespace
 }  // namespace ironquay::net
--- a/test/net/request_parser_test.cpp
+++ b/test/net/request_parser_test.cpp
@@ -41,6 +41,7 @@
   void respond_with_value(std::string_view) override {}
   void reject(Duration) override {}
   void fail() override {}
+  bool client_has_disconnected() const override { return false; }
 };
 
 TEST_CASE("command names are matched without regard to case") {
--- a/test/net/upstream_late_connect_test.cpp
+++ b/test/net/upstream_late_connect_test.cpp
@@ -76,5 +76,21 @@
   REQUIRE(closes_without_command(late_worker.accept()));
 }
 
+TEST_CASE("an attempt whose client leaves right after the connection is established is never sent") {
+  FullBacklogServer late_worker;
+  Deployment deployment(1);
+  replace_worker_0(deployment, late_worker);
+  TestConnection client = deployment.ready_client();
+  client.send(lookup_with_timeout("1", 5000));
+  late_worker.wait_for_pending_connect();
+  deployment.gateway.pause();
+  late_worker.free_backlog();
+  TestConnection attempt = late_worker.accept();
+  client.close();
+  std::this_thread::sleep_for(150ms);
+  deployment.gateway.resume();
+  REQUIRE(closes_without_command(std::move(attempt)));
+}
+
 }  // namespace
 }  // namespace ironquay::net
