A new process at the address of a worker that has gone is not taken for it

Two workers listed at one address were both used, so a keyed retry for the old one's cell was executed in the new one's. A worker that was gone and came back while an attempt was in flight kept its statistics, and its busy connection was used again. After a refusal, which shows that the process has gone, its idle connections stayed in use. Change: EndpointUpdate identifies the address; WorkerRegistry (src/policy) keeps only the process that started last there, and takes a worker that returns for a new process. UpstreamPool treats connections as outdated when another worker is set at the address, when the worker is gone, and when it refuses a connection.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -305,12 +305,15 @@
   const WorkerId id = worker_ids_.id_of(endpoint.name);
   if (endpoint.status == WorkerStatus::ready) {
     upstreams_.set_endpoint(id, endpoint.address, endpoint.started_at);
+  } else if (endpoint.status == WorkerStatus::gone) {
+    upstreams_.forget_process(id);
   } else {
     upstreams_.close_idle_connections(id);
   }
   dispatch([&, this] {
-    balancer_.on_endpoint(loop_.now(), {id, endpoint.status, endpoint.zone, endpoint.cell,
-                                        endpoint.relative_capacity, endpoint.started_at});
+    balancer_.on_endpoint(loop_.now(),
+                          {id, endpoint.status, endpoint.zone, endpoint.cell, endpoint.relative_capacity,
+                           endpoint.started_at, address_key(endpoint.address)});
   });
 }
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -66,10 +66,12 @@
   return std::string(host) + ':' + std::to_string(ntohs(address.sin_port));
 }
 
-bool same_address(const Address& a, const Address& b) {
-  return a.sin_addr.s_addr == b.sin_addr.s_addr && a.sin_port == b.sin_port;
+std::uint64_t address_key(const Address& address) {
+  return std::uint64_t{ntohl(address.sin_addr.s_addr)} << 16 | ntohs(address.sin_port);
 }
 
+bool same_address(const Address& a, const Address& b) { return address_key(a) == address_key(b); }
+
 FileDescriptor bind_tcp(const Address& address) {
   FileDescriptor socket = create_socket(SOCK_STREAM);
   if (!socket) return FileDescriptor();
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -5,6 +5,7 @@
 #pragma once
 #include <netinet/in.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,8 @@
 std::optional<Address> parse_address(std::string_view text);
 // Formats an address in the form that parse_address() accepts.
 std::string to_string(const Address& address);
+// A number that is the same for equal addresses only, and never 0 for an address with a port.
+std::uint64_t address_key(const Address& address);
 // Whether both have the same IP address and port.
 bool same_address(const Address& a, const Address& b);
 
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -18,9 +18,8 @@
 
 bool TcpStream::make_progress(std::uint32_t events) {
   if (!connected_) {
-    int error = 0;
-    socklen_t size = sizeof error;
-    if (getsockopt(socket_.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+    socklen_t size = sizeof error_;
+    if (getsockopt(socket_.get(), SOL_SOCKET, SO_ERROR, &error_, &size) != 0 || error_ != 0) {
       end_ = ConnectionEnd::reset;
     } else if (events & EPOLLOUT) {
       connected_ = true;
--- a/src/net/tcp_stream.hpp
+++ b/src/net/tcp_stream.hpp
@@ -85,6 +85,8 @@
 
   bool connected() const { return connected_; }
   ConnectionEnd connection_end() const { return end_; }
+  // The errno value with which the connection failed; 0 if it did not fail.
+  int error() const { return error_; }
   // Whether the connection has ended. Returns true also if `events` reports an error or hang-up, even if
   // unread bytes may remain.
   bool has_ended(std::uint32_t events) const;
@@ -123,6 +125,7 @@
   bool connected_;
   bool receive_buffer_drained_ = false;
   ConnectionEnd end_ = ConnectionEnd::none;
+  int error_ = 0;
 };
 
 }  // namespace ironquay::net
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/upstream_connection.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 
 #include "net/log.hpp"
@@ -94,9 +95,9 @@
   const bool was_connected = stream_.connected();
   if (attempt_has_expired(events)) return close(UpstreamCloseReason::attempt_expired, Outcome::not_sent);
   if (!stream_.make_progress(events)) {
-    if (stream_.connection_end() != ConnectionEnd::none)
-      close(UpstreamCloseReason::connect_refused, Outcome::connect_failed);
-    return;
+    if (stream_.connection_end() == ConnectionEnd::none) return;
+    if (stream_.error() == ECONNREFUSED) owner_.on_connect_refused(worker_);
+    return close(UpstreamCloseReason::connect_refused, Outcome::connect_failed);
   }
   if (!was_connected) timeout_timer_.expire_at(deadline_);
   stream_.read(events, [&](std::string_view bytes) { return on_bytes(bytes); });
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -62,6 +62,8 @@
     // Whether the worker's address or process has changed since `opened_at`, the time when a connection to
     // the worker was opened. Such a connection must not be used for further attempts.
     virtual bool is_outdated(WorkerId worker, Duration opened_at) const = 0;
+    // Nothing listens at the worker's address: its process is gone.
+    virtual void on_connect_refused(WorkerId worker) = 0;
     // Whether an attempt that could not be written immediately may still be written.
     virtual bool may_send_attempt(RequestId request, std::size_t attempt) = 0;
     // The connection is idle and can be used for another attempt or health check.
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -32,11 +32,21 @@
 }
 
 void UpstreamPool::set_endpoint(WorkerId id, const Address& address, Duration started_at) {
+  WorkerId& owner = address_owners_.try_emplace(address_key(address), id).first->second;
+  const WorkerId previous_owner = std::exchange(owner, id);
+  if (previous_owner != id && same_address(workers_[previous_owner].address, address))
+    forget_process(previous_owner);
   Worker& worker = workers_[id];
   if (same_address(worker.address, address) && worker.started_at == started_at) return;
   worker.address = address;
   worker.started_at = started_at;
-  worker.endpoint_changed_at = loop_.now();
+  forget_process(id);
+}
+
+void UpstreamPool::forget_process(WorkerId id) {
+  const auto found = workers_.find(id);
+  if (found == workers_.end()) return;
+  found->second.endpoint_changed_at = loop_.now();
   close_idle_connections(id);
 }
 
@@ -46,6 +56,8 @@
     if (i < connections_.size() && connections_[i]->worker() == id)
       connections_[i]->close(UpstreamCloseReason::endpoint_changed, Outcome::cancelled);
   }
+  const auto owned = address_owners_.find(address_key(workers_[id].address));
+  if (owned != address_owners_.end() && owned->second == id) address_owners_.erase(owned);
   workers_.erase(id);
 }
 
@@ -73,6 +85,7 @@
   log("connection closed peer=worker addr=%s reason=%s errno=%d",
       to_string(workers_.at(worker).address).c_str(), to_string(reason), error);
   const Outcome outcome = refused ? Outcome::connect_failed : Outcome::not_sent;
+  if (error == ECONNREFUSED) forget_process(worker);
   listener_.on_attempt_end({exchange.id, attempt, worker, outcome, Duration(0), {}, 0});
 }
 
@@ -152,6 +165,8 @@
   return opened_at < workers_.at(worker).endpoint_changed_at;
 }
 
+void UpstreamPool::on_connect_refused(WorkerId worker) { forget_process(worker); }
+
 bool UpstreamPool::may_send_attempt(RequestId request, std::size_t attempt) {
   return listener_.may_send_attempt(request, attempt);
 }
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -39,8 +39,11 @@
                Listener& listener);
 
   // Sets the address at which a worker listens and the time when its process started. Existing connections
-  // are not reused after a change of either.
+  // are not used for further attempts after a change of either, nor after another worker was set at the same
+  // address.
   void set_endpoint(WorkerId id, const Address& address, Duration started_at);
+  // The worker's process is gone. Existing connections are not used for further attempts.
+  void forget_process(WorkerId id);
   // Removes a worker that has no attempt in flight and closes its connections. Its id may be assigned to
   // another worker afterwards.
   void remove_worker(WorkerId id);
@@ -62,6 +65,7 @@
   };
 
   bool is_outdated(WorkerId worker, Duration opened_at) const override;
+  void on_connect_refused(WorkerId worker) override;
   bool may_send_attempt(RequestId request, std::size_t attempt) override;
   void on_connection_idle(UpstreamConnection& connection) override;
   void on_connection_closed(UpstreamConnection& connection) override;
@@ -82,6 +86,7 @@
   ResponseBufferBudget budget_;
   Listener& listener_;
   std::unordered_map<WorkerId, Worker> workers_;
+  std::unordered_map<std::uint64_t, WorkerId> address_owners_;  // the worker that was last set at an address
   std::unordered_map<std::uint64_t, UpstreamConnection*> in_flight_;  // by in_flight_key() of their attempt
   std::vector<std::unique_ptr<UpstreamConnection>> connections_;
   std::string command_;  // reused for each attempt, to save allocations
--- a/src/policy/events.hpp
+++ b/src/policy/events.hpp
@@ -42,6 +42,9 @@
   std::int64_t cell = 0;
   double relative_capacity = 1;  // full capacity divided by that of a standard worker
   Duration started_at{0};        // when the worker started; 0: so long ago that the worker is warm
+  // Identifies the address at which the worker listens; 0: unknown. Two workers at one address cannot both
+  // run.
+  std::uint64_t address = 0;
 };
 
 // The counter service has replied to a call, or the call has failed. Replies for one name arrive in the order
--- a/src/policy/worker.hpp
+++ b/src/policy/worker.hpp
@@ -7,12 +7,13 @@
 namespace ironquay {
 
 struct Worker {
-  // The fields down to started_at are reported by discovery.
+  // The fields down to address are reported by discovery.
   std::string zone;
   std::int64_t cell = 0;
   double relative_capacity = 1;  // full capacity divided by that of a standard worker
   WorkerStatus status = WorkerStatus::ready;
-  Duration started_at{0};  // when the worker started; 0: so long ago that the worker is warm
+  Duration started_at{0};     // when the worker started; 0: so long ago that the worker is warm
+  std::uint64_t address = 0;  // see EndpointUpdate::address
 
   int in_flight = 0;  // this gateway's attempts in flight at the worker
   // The greatest number of attempts that this gateway may have in flight at the worker. If it is below one,
--- a/src/policy/worker_registry.cpp
+++ b/src/policy/worker_registry.cpp
@@ -11,7 +11,7 @@
   listed_workers_.insert(update.worker);
   const auto [entry, inserted] = workers_.try_emplace(update.worker);
   Worker& worker = entry->second;
-  if (inserted || update.started_at != worker.started_at) {
+  if (inserted || is_new_process(worker, update)) {
     // The worker is new or has restarted, so the statistics of an earlier process do not apply. Attempts in
     // flight are still counted until they end.
     const int in_flight = worker.in_flight;
@@ -25,6 +25,27 @@
   worker.zone = std::string(update.zone);
   worker.cell = update.cell;
   worker.relative_capacity = update.relative_capacity > 0 ? update.relative_capacity : 1;
+  worker.address = update.address;
+  if (worker.status == WorkerStatus::ready && worker.address != 0)
+    resolve_address_conflict(update.worker, worker);
+}
+
+bool WorkerRegistry::is_new_process(const Worker& known, const EndpointUpdate& update) {
+  const bool returned = known.status == WorkerStatus::gone && update.status == WorkerStatus::ready;
+  return returned || update.started_at != known.started_at;
+}
+
+void WorkerRegistry::resolve_address_conflict(WorkerId id, Worker& worker) {
+  WorkerId& owner = address_owners_.try_emplace(worker.address, id).first->second;
+  Worker* other = owner == id ? nullptr : find(owner);
+  const bool conflict =
+      other != nullptr && other->status != WorkerStatus::gone && other->address == worker.address;
+  if (conflict && other->started_at > worker.started_at) {
+    worker.status = WorkerStatus::gone;
+    return;
+  }
+  if (conflict) other->status = WorkerStatus::gone;
+  owner = id;
 }
 
 bool WorkerRegistry::end_list(Duration now) {
@@ -39,6 +60,7 @@
   std::erase_if(workers_, [](const auto& entry) {
     return entry.second.status == WorkerStatus::gone && entry.second.in_flight == 0;
   });
+  std::erase_if(address_owners_, [this](const auto& entry) { return !workers_.contains(entry.second); });
   return true;
 }
 
--- a/src/policy/worker_registry.hpp
+++ b/src/policy/worker_registry.hpp
@@ -4,6 +4,7 @@
 #pragma once
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 #include "policy/events.hpp"
@@ -21,7 +22,8 @@
   // Starts to receive an endpoint list.
   void begin_list(EndpointListKind kind);
   // Adds or updates one worker of the list being received. The status takes effect immediately, but ready()
-  // changes only in end_list().
+  // changes only in end_list(). If another worker is listed at the same address, the one that started earlier
+  // is gone; if both started at the same time, the one that was listed earlier.
   void update(const EndpointUpdate& update, Duration now);
   // Completes the list and removes workers that are gone and have no attempts in flight. Returns false if the
   // list could not be fetched, in which case the previous list remains in use.
@@ -53,6 +55,10 @@
   double utilization() const;
 
  private:
+  // Whether the worker is a process that this gateway has not sent attempts to.
+  static bool is_new_process(const Worker& known, const EndpointUpdate& update);
+  // Decides which worker is gone if another one is listed at the address of the updated one.
+  void resolve_address_conflict(WorkerId id, Worker& worker);
   // Recomputes the list of ready workers and the totals over them.
   void rebuild_ready(Duration now);
 
@@ -60,6 +66,8 @@
   const WorkerSubset& subset_;
   std::map<WorkerId, Worker> workers_;
   std::vector<WorkerId> ready_;
+  std::unordered_map<std::uint64_t, WorkerId>
+      address_owners_;                 // the last ready worker that was listed at an address
   std::set<WorkerId> listed_workers_;  // entries of the list being received
   EndpointListKind list_kind_ = EndpointListKind::cached;
   std::size_t warm_count_ = 0;
--- a/test/net/upstream_connection_test.cpp
+++ b/test/net/upstream_connection_test.cpp
@@ -67,6 +67,39 @@
   REQUIRE(old_connection.reaches_end());
 }
 
+TEST_CASE("a busy connection to a worker that was gone in between is not reused") {
+  Deployment deployment(1);
+  TestConnection client = deployment.ready_client();
+  auto [watch, request] = deployment.take_watch();
+  client.send(lookup_request("1"));
+  TestConnection old_connection = deployment.next_attempt().connection;
+  REQUIRE(!old_connection.receive_command().empty());
+  watch.send(watch_event(deployment.endpoint_change(43, 0, "terminated")) +
+             watch_event(deployment.endpoint_change(44, 0, "in_service")));
+  std::this_thread::sleep_for(50ms);  // until the gateway has applied the events
+  old_connection.send(worker_reply("v"));
+  REQUIRE(client.receives(bulk_string("v")));
+  REQUIRE(old_connection.reaches_end());
+}
+
+TEST_CASE("a keyed retry does not reach a new process of another cell at the address of a listed worker") {
+  Deployment deployment(2);
+  deployment.config["settings"]["classes"][1]["key_scope"] = "cell";
+  TestConnection client = deployment.ready_client();
+  auto [watch, request] = deployment.take_watch();
+  client.send(order_request("1"));
+  auto [connection, worker] = deployment.next_attempt();
+  REQUIRE(!connection.receive_command().empty());
+  Json change = deployment.endpoint_change(43, 1 - worker, "in_service");
+  change["hosts"][0]["host"] = "s-new";
+  change["hosts"][0]["block"] = 2;
+  watch.send(watch_event(change));
+  std::this_thread::sleep_for(50ms);  // until the gateway has applied the event
+  connection.reset();                 // the request may have been executed
+  REQUIRE(client.receives(kFailed));
+  REQUIRE(deployment.no_attempt_for(100ms));
+}
+
 TEST_CASE("a worker connection is not reused while a duplicate reply may still arrive") {
   Deployment deployment(1);
   TestConnection client = deployment.ready_client();
--- a/test/policy/endpoint_list_test.cpp
+++ b/test/policy/endpoint_list_test.cpp
@@ -91,5 +91,32 @@
   CHECK(fixture.effects.actions.at(0).substr(0, 7) == "send 5 ");
 }
 
+TEST_CASE("of two workers listed at one address only the one that started later is ready") {
+  constexpr std::uint64_t kAddress = 77;
+  Fixture fixture;
+  WorkerRegistry& workers = fixture.modules.workers();
+  const auto list = [&](WorkerId id, Duration started_at) {
+    workers.begin_list(EndpointListKind::delta);
+    workers.update({id, WorkerStatus::ready, "", 0, 1, started_at, kAddress}, 9s);
+    workers.end_list(9s);
+  };
+  list(1, 2s);
+  list(2, 5s);
+  CHECK(workers.ready() == std::vector<WorkerId>{2});
+  list(1, 2s);  // an outdated entry
+  CHECK(workers.ready() == std::vector<WorkerId>{2});
+  list(3, 5s);
+  CHECK(workers.ready() == std::vector<WorkerId>{3});
+}
+
+TEST_CASE("a worker that returns after it was gone is a new process") {
+  Fixture fixture;
+  Worker& worker = fixture.add_worker(1);
+  fixture.modules.workers().attempt_started(worker);
+  worker.consecutive_failures = 9;
+  fixture.add_worker(1, WorkerStatus::gone);
+  CHECK(fixture.add_worker(1).consecutive_failures == 0);
+}
+
 }  // namespace
 }  // namespace ironquay
