--- a/test/faults/clients.cpp
+++ b/test/faults/clients.cpp
@@ -112,6 +112,42 @@
   }
 }
 
+LeavingClients::LeavingClients(const Address& gateway, std::size_t clients) : gateway_(gateway) {
+  for (std::size_t i = 0; i < clients; ++i) threads_.emplace_back([this] { run(); });
+}
+
+std::vector<Clock::time_point> LeavingClients::stop() {
+  running_ = false;
+  for (std::thread& thread : threads_) thread.join();
+  threads_.clear();
+  return closed_at_;
+}
+
+void LeavingClients::run() {
+  constexpr int kRequests = 300;
+  constexpr Milliseconds kStay = 20ms;
+  while (running_) {
+    std::size_t connection = 0;
+    {
+      const std::lock_guard lock(mutex_);
+      connection = closed_at_.size();
+      closed_at_.push_back(Clock::time_point::max());
+    }
+    std::string requests;
+    for (int i = 0; i < kRequests; ++i) {
+      const std::string id = request_prefix(connection) + std::to_string(i);
+      requests += resp_array(
+          {"CALL.GET", customer(connection), id, "c=lookup,t=team,units=1,spread=1,first=0,d=3000"});
+    }
+    TestConnection client(connect_tcp(gateway_));
+    client.try_send(requests, kStay);
+    std::this_thread::sleep_for(kStay);
+    connection % 2 ? client.close() : client.reset();
+    const std::lock_guard lock(mutex_);
+    closed_at_[connection] = Clock::now();
+  }
+}
+
 FloodingClient::FloodingClient(const Address& gateway, std::function<std::string()> next_input,
                                bool new_connections)
     : gateway_(gateway),
--- a/test/faults/clients.hpp
+++ b/test/faults/clients.hpp
@@ -73,6 +73,30 @@
   std::vector<std::thread> threads_;
 };
 
+/// Clients that write many requests at once and close soon after, again and again until stop().
+class LeavingClients {
+ public:
+  LeavingClients(const Address& gateway, std::size_t clients);
+  ~LeavingClients() { stop(); }
+  LeavingClients(const LeavingClients&) = delete;
+  LeavingClients& operator=(const LeavingClients&) = delete;
+  /// Returns the time of the close for each connection. The requests of connection N have ids that begin with
+  /// request_prefix(N).
+  std::vector<Clock::time_point> stop();
+  static std::string request_prefix(std::size_t connection) {
+    return "leave" + std::to_string(connection) + "-";
+  }
+
+ private:
+  void run();
+
+  Address gateway_;
+  std::atomic<bool> running_ = true;
+  std::mutex mutex_;
+  std::vector<Clock::time_point> closed_at_;
+  std::vector<std::thread> threads_;
+};
+
 /// Writes input as fast as the gateway reads it, on one connection or on a new one for each piece, until
 /// stop(). Reads and discards what the gateway sends.
 class FloodingClient {
