A request on a connection that was idle is not taken for one that has waited

Cause: since input is processed in turns, a turn that begins without buffered commands told ArrivalClock that everything was processed, which dropped the time of the event that had just announced the input. The time of the last empty read, however long ago, was used instead. Change: only commands that were left from an earlier turn end their wait before the first read; a read that finds nothing ends any wait.

--- a/src/net/arrival_clock.hpp
+++ b/src/net/arrival_clock.hpp
@@ -24,21 +24,23 @@
     drained_ = drained;
     if (drained) drained_at_ = started_at;
   }
-  // A system call that began at `started_at` has found no bytes.
-  void on_drained(Duration started_at) {
-    drained_ = true;
-    drained_at_ = started_at;
-  }
-  // All received commands have been processed.
+  // All commands that were received have been processed.
   void on_processed() {
     if (drained_) waiting_since_.reset();
   }
+  // A system call that began at `started_at` has found no bytes. All commands that were received have been
+  // processed.
+  void on_nothing_received(Duration started_at) {
+    drained_ = true;
+    drained_at_ = started_at;
+    waiting_since_.reset();
+  }
 
   // How long the next command may have been waiting at the time `now`.
   Duration waited(Duration now) const { return std::max(Duration(0), now - waiting_since_.value_or(now)); }
 
  private:
-  std::optional<Duration> waiting_since_;  // empty if all input has been processed
+  std::optional<Duration> waiting_since_;  // empty if no input is known to wait
   Duration drained_at_;                    // when the system last had no more bytes
   bool drained_ = false;
 };
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -82,20 +82,22 @@
 // is over.
 bool ClientConnection::process_input() {
   turn_is_over_ = false;
-  const auto consume_bytes = [this](std::string_view bytes) { return consume(bytes); };
-  stream_.consume_unread(consume_bytes);
+  const auto process = [this](std::string_view bytes) {
+    const std::size_t consumed = consume(bytes);
+    if (!paused_ && !turn_is_over_) arrival_clock_.on_processed();
+    return consumed;
+  };
+  if (has_unprocessed_input_) stream_.consume_unread(process);
   while (!paused_ && !turn_is_over_) {
-    arrival_clock_.on_processed();
     const Duration read_at = context_.loop.precise_now();
     const bool received = stream_.read_once([&](std::string_view bytes) {
       arrival_clock_.on_received(read_at, stream_.receive_buffer_drained());
-      return consume(bytes);
+      return process(bytes);
     });
-    if (!received) arrival_clock_.on_drained(read_at);
+    if (!received) arrival_clock_.on_nothing_received(read_at);
     if (stream_.receive_buffer_drained()) break;
     turn_is_over_ = turn_is_over_ || context_.turns.turn_is_over();
   }
-  if (!paused_ && !turn_is_over_) arrival_clock_.on_processed();
   return turn_is_over_;
 }
 
--- a/test/net/client_connection_test.cpp
+++ b/test/net/client_connection_test.cpp
@@ -151,5 +151,16 @@
   REQUIRE(fixture.received_time_left.back() <= 900ms);
 }
 
+TEST_CASE("a request on a connection that was idle has its whole time left") {
+  FrontendFixture fixture;
+  TestConnection client = fixture.connect();
+  client.send(kPing);
+  fixture.run_for(1s);
+  REQUIRE(client.receives(kPong));
+  client.send(lookup_with_timeout("1", 1000));
+  REQUIRE(fixture.run_until_requests(1));
+  REQUIRE(fixture.received_time_left.back() > 500ms);
+}
+
 }  // namespace
 }  // namespace ironquay::net
