All durations follow the monotonic clock; the wall clock is read in one place

Cause: the loop's clock followed Unix time at half or one and a half times its speed until both agreed, so every timeout, window and drain took up to twice its time. Change: EventLoop's clock is monotonic. wall_clock.hpp is the only place that reads Unix time. SharedClock (src/policy) holds the difference, for what other machines compare: reported start times of workers, periods of pools, time slots of slow start. A start time is converted with the setting of Unix time that makes the process youngest, so a step makes no cold worker look warm. WorkerRegistry tells processes apart by the reported time itself.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -5,6 +5,7 @@
 #include <system_error>
 
 #include "net/timer.hpp"
+#include "net/wall_clock.hpp"
 
 namespace ironquay::net {
 namespace {
@@ -14,37 +15,28 @@
 constexpr std::size_t kMaxEventsPerIteration = 256;
 constexpr Duration kMaxSleep = 1min;
 
-Duration unix_time() {
-  return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+Duration monotonic_time() {
+  return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch());
 }
 
 }  // namespace
 
 EventLoop::EventLoop()
     : epoll_(epoll_create1(EPOLL_CLOEXEC)),
-      now_(unix_time()),
-      clock_updated_at_(std::chrono::steady_clock::now()),
+      epoch_(unix_time() - monotonic_time()),
+      now_(precise_now()),
       read_buffer_(std::make_unique<ReadBuffer>()) {
   if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
-// The loop's clock follows the system clock, so that gateways agree on the time. When the system clock is
-// set, the loop's clock runs at half or one and a half times the normal speed until both agree again. It does
-// not jump, because a jump would make pending timeouts expire early.
 void EventLoop::update_clock(Duration busy) {
-  const auto steady_now = std::chrono::steady_clock::now();
-  const Duration elapsed = std::chrono::duration_cast<Duration>(steady_now - clock_updated_at_);
-  clock_updated_at_ += elapsed;
-  const Duration expected = now_ + elapsed;
-  now_ = expected + std::clamp(unix_time() - expected, -elapsed / 2, elapsed / 2);
+  now_ = precise_now();
   longest_iteration_ = std::max(longest_iteration_, busy);
   const Duration overdue = timers_.empty() ? Duration(0) : now_ - timers_.front()->expires_at_;
   scheduling_delay_ = std::max({busy, overdue, Duration(0)});
 }
 
-Duration EventLoop::precise_now() const {
-  return now_ + std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - clock_updated_at_);
-}
+Duration EventLoop::precise_now() const { return epoch_ + monotonic_time(); }
 
 EventLoop::Token EventLoop::watch(int fd, Handler& handler) {
   if (free_slots_.empty()) {
@@ -89,11 +81,11 @@
 void EventLoop::run() {
   std::array<epoll_event, kMaxEventsPerIteration> events{};
   for (running_ = true; running_;) {
-    const auto busy_time = std::chrono::steady_clock::now() - clock_updated_at_;
+    const Duration busy_time = precise_now() - now_;
     const int count =
         epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), epoll_timeout_ms());
     if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
-    update_clock(std::chrono::duration_cast<Duration>(busy_time));
+    update_clock(busy_time);
     // Input is handled before timers, so that after the process was delayed, a response that has already
     // arrived is not treated as timed out.
     dispatch_requeued();
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -51,8 +51,8 @@
   // Throws std::system_error.
   EventLoop();
 
-  // The time at which the current iteration began. This is Unix time, adjusted so that it is monotonic and
-  // never jumps.
+  // The time at which the current iteration began, on a monotonic clock. It equals the Unix time when the
+  // loop is created, and does not follow it when the system's clock is set.
   Duration now() const { return now_; }
   // The current time, on the same clock. Reads the clock.
   Duration precise_now() const;
@@ -124,10 +124,10 @@
   void place_in_heap(std::size_t index, Timer* timer);
 
   FileDescriptor epoll_;
+  const Duration epoch_;  // the Unix time minus the system's monotonic clock when the loop was created
   Duration now_{0};
   Duration scheduling_delay_{0};
   Duration longest_iteration_{0};
-  std::chrono::steady_clock::time_point clock_updated_at_;  // when now_ was last updated
   std::vector<Slot> slots_;
   std::vector<std::uint32_t> free_slots_;
   std::vector<RequeuedEvents> requeued_;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "net/log.hpp"
+#include "net/wall_clock.hpp"
 
 namespace ironquay::net {
 namespace {
@@ -131,6 +132,7 @@
     return;
   }
   dispatching_ = true;
+  update_clock_offset();
   event();
   while (!deferred_events_.empty()) {
     deferred_events_.front()();
@@ -139,6 +141,12 @@
   dispatching_ = false;
 }
 
+// Tells the load balancer the difference of the wall clock, once per iteration of the event loop.
+void Gateway::update_clock_offset() {
+  if (std::exchange(clock_offset_read_at_, loop_.now()) == loop_.now()) return;
+  balancer_.set_clock_offset(unix_time() - loop_.precise_now());
+}
+
 // Removes a request from the open ones and returns its exchange. Returns null if the request is already
 // answered or its client has disconnected.
 Exchange* Gateway::take_exchange(RequestId request) {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -83,6 +83,7 @@
 
   template <typename Event>
   void dispatch(Event event);
+  void update_clock_offset();
   void open_frontend(StartupTrigger trigger);
   void remove_gone_workers();
   Exchange* take_exchange(RequestId request);
@@ -96,6 +97,7 @@
   std::unordered_map<RequestId, Exchange*> open_requests_;  // the requests that are not answered yet
   WorkerIdMap worker_ids_;
   RequestId last_request_id_ = 0;
+  Duration clock_offset_read_at_{0};
   bool dispatching_ = false;  // the load balancer is handling an event
   std::deque<std::function<void()>> deferred_events_;
   Timer policy_timer_;
--- a/src/policy/events.hpp
+++ b/src/policy/events.hpp
@@ -41,7 +41,7 @@
   std::string_view zone;
   std::int64_t cell = 0;
   double relative_capacity = 1;  // full capacity divided by that of a standard worker
-  Duration started_at{0};        // when the worker started; 0: so long ago that the worker is warm
+  Duration started_at{0};  // when the worker started, in Unix time; 0: so long ago that the worker is warm
   // Identifies the address at which the worker listens; 0: unknown. Two workers at one address cannot both
   // run.
   std::uint64_t address = 0;
--- a/src/policy/load_balancer.cpp
+++ b/src/policy/load_balancer.cpp
@@ -65,14 +65,14 @@
       now_(now),
       random_(seed),
       subset_(settings_, now),
-      slow_start_(settings_),
-      workers_(slow_start_, subset_),
+      slow_start_(settings_, clock_),
+      workers_(slow_start_, subset_, clock_),
       retry_policy_(settings_),
       limiter_(workers_, subset_),
       observer_(settings_, limiter_, overload_, route_statistics_),
       timing_(settings_, route_statistics_),
       selector_(settings_, workers_, subset_, slow_start_, limiter_, retry_policy_, random_),
-      quota_(settings_, random_, effects) {
+      quota_(settings_, clock_, random_, effects) {
   route_statistics_.resize(settings_.routes.size());
   if (settings_.capabilities.polls_endpoints) endpoint_poll_times_.insert(now);
 }
--- a/src/policy/load_balancer.hpp
+++ b/src/policy/load_balancer.hpp
@@ -2,7 +2,7 @@
 // request is retried, and how a request that no worker serves is answered.
 //
 // The program that embeds a LoadBalancer reports each event by calling the matching on_...() function with
-// the current time, read from the clock that all gateways share. It performs the actions that the
+// the current time, read from a monotonic clock. It performs the actions that the
 // LoadBalancer requests through Effects. The LoadBalancer has no clock, threads or I/O of its own. An
 // implementation of Effects must not call the LoadBalancer.
 //
@@ -32,6 +32,7 @@
 #include "policy/retry_policy.hpp"
 #include "policy/route_statistics.hpp"
 #include "policy/settings.hpp"
+#include "policy/shared_clock.hpp"
 #include "policy/slow_start.hpp"
 #include "policy/timing_policy.hpp"
 #include "policy/worker_registry.hpp"
@@ -48,6 +49,10 @@
   LoadBalancer(const LoadBalancer&) = delete;
   LoadBalancer& operator=(const LoadBalancer&) = delete;
 
+  // Sets the difference of the Unix time and the clock of the events' times. The program calls this when the
+  // difference changes. It is 0 at first.
+  void set_clock_offset(Duration offset) { clock_.set_offset(offset); }
+
   // An endpoint list is reported as one begin call, one on_endpoint() call per entry, and one end call.
   void on_endpoint_list_begin(Duration now, EndpointListKind kind);
   void on_endpoint(Duration now, const EndpointUpdate& update);
@@ -131,6 +136,7 @@
   double load() const;
 
   PolicySettings settings_;
+  SharedClock clock_;
   Effects& effects_;
   Duration now_;
   RandomSource random_;
--- a/src/policy/quota_allocator.cpp
+++ b/src/policy/quota_allocator.cpp
@@ -11,10 +11,11 @@
 
 }  // namespace
 
-QuotaAllocator::QuotaAllocator(const PolicySettings& settings, RandomSource& random, Effects& effects)
+QuotaAllocator::QuotaAllocator(const PolicySettings& settings, const SharedClock& clock, RandomSource& random,
+                               Effects& effects)
     : counter_health_(settings.capabilities.counter_timeout),
       slices_(settings, counter_health_),
-      pool_(settings, slices_, counter_health_, random, effects) {}
+      pool_(settings, clock, slices_, counter_health_, random, effects) {}
 
 QuotaSlice& QuotaAllocator::find_or_create_slice(const std::string& customer, std::size_t plan,
                                                  int gateway_spread, Duration now) {
--- a/src/policy/quota_allocator.hpp
+++ b/src/policy/quota_allocator.hpp
@@ -29,7 +29,8 @@
 class QuotaAllocator {
  public:
   // All arguments must outlive the allocator.
-  QuotaAllocator(const PolicySettings& settings, RandomSource& random, Effects& effects);
+  QuotaAllocator(const PolicySettings& settings, const SharedClock& clock, RandomSource& random,
+                 Effects& effects);
 
   // Returns the customer's slice and marks it as used now. A new slice starts with its part of the burst,
   // less the pooled share, and its first rebalance is scheduled. `plan`: index into PolicySettings::plans;
--- a/src/policy/quota_pool.cpp
+++ b/src/policy/quota_pool.cpp
@@ -72,7 +72,7 @@
   // to the pool's burst.
   const double pool_burst = exhausted ? 0 : slice.pooled_share * settings_.plans[slice.plan].burst;
   const double amount = std::max(units, std::min(units / call_probability(request), pool_burst));
-  const CounterCall call{CounterPurpose::take_for_request, request.customer, units, id, 0, now};
+  const CounterCall call{CounterPurpose::take_for_request, request.customer, units, id, 0, now, {}};
   call_counter(pool_name(request.customer, now), call, amount, now);
 }
 
@@ -134,7 +134,7 @@
     mark_exhausted(call.customer, slice, now);
   }
   if (taken < call.units) {
-    const CounterCall return_call{CounterPurpose::correct_count, call.customer, 0, 0, 0, now};
+    const CounterCall return_call{CounterPurpose::correct_count, call.customer, 0, 0, 0, now, {}};
     call_counter(name, return_call, (taken / call.units - 1) * call.amount, now);
     return;
   }
@@ -149,7 +149,7 @@
   if (!total) return exhausted_.contains(call.customer, now) ? -call.amount : 0;
   const QuotaPlan& plan = settings_.plans[slice.plan];
   const double pool_burst = slice.pooled_share * plan.burst;
-  const double seconds_into_period = to_seconds((call.sent_at + period_offset(call.customer)) % kPeriod);
+  const double seconds_into_period = to_seconds((call.unix_sent_at + period_offset(call.customer)) % kPeriod);
   return pool_burst + slice.pooled_share * plan.rate * seconds_into_period - *total;
 }
 
@@ -160,7 +160,7 @@
                             double excess, double pool_burst, Duration now) {
   const bool is_first_take = total && *total < (1 + kCounterRelativeError) * call.amount + kCounterRounding;
   if (!is_first_take && !random_.chance(excess / pool_burst)) return;
-  const CounterCall trim_call{CounterPurpose::correct_count, call.customer, 0, 0, 0, now};
+  const CounterCall trim_call{CounterPurpose::correct_count, call.customer, 0, 0, 0, now, {}};
   call_counter(name, trim_call, is_first_take ? excess : std::min(excess, pool_burst), now);
 }
 
@@ -184,14 +184,15 @@
 void QuotaPool::call_counter(std::string_view name, CounterCall call, double amount, Duration now) {
   call.amount = amount;
   call.sent_at = now;
+  call.unix_sent_at = clock_.unix_time(now);
   pending_calls_[std::string(name)].push_back(std::move(call));
   ++pending_call_count_;
   effects_.add_to_counter(name, amount, kPoolNameLifetime);
 }
 
 // The name consists of the customer and the number of the pool's current period.
-std::string QuotaPool::pool_name(const std::string& customer, Duration now) {
-  return customer + ":" + std::to_string((now + period_offset(customer)) / kPeriod);
+std::string QuotaPool::pool_name(const std::string& customer, Duration now) const {
+  return customer + ":" + std::to_string((clock_.unix_time(now) + period_offset(customer)) / kPeriod);
 }
 
 // The surplus is the slice's inflow over kSurplusSeconds that exceeds demand and its headroom. The slice
@@ -204,7 +205,7 @@
   const double surplus = std::min(unused, slice.tokens - slice.peak_request_units);
   if (surplus < settings_.plans[slice.plan].burst * kMinContributionShare) return;
   slice.tokens -= surplus;
-  const CounterCall contribution{CounterPurpose::contribute_surplus, customer, surplus, 0, 0, now};
+  const CounterCall contribution{CounterPurpose::contribute_surplus, customer, surplus, 0, 0, now, {}};
   call_counter(pool_name(customer, now), contribution, -surplus, now);
 }
 
--- a/src/policy/quota_pool.hpp
+++ b/src/policy/quota_pool.hpp
@@ -20,6 +20,7 @@
 #include "policy/request.hpp"
 #include "policy/request_table.hpp"
 #include "policy/settings.hpp"
+#include "policy/shared_clock.hpp"
 
 namespace ironquay {
 
@@ -46,15 +47,17 @@
   // Units that the call adds to the count. A take adds more than `units` if it also covers other requests.
   double amount = 0;
   Duration sent_at{0};
+  Duration unix_sent_at{0};  // the same in Unix time, which names the pool's period
 };
 
 // Takes units from the customers' pools and contributes the surplus of this gateway's slices to them.
 class QuotaPool {
  public:
   // All arguments must outlive the pool.
-  QuotaPool(const PolicySettings& settings, QuotaSlices& slices, CounterHealth& counter_health,
-            RandomSource& random, Effects& effects)
+  QuotaPool(const PolicySettings& settings, const SharedClock& clock, QuotaSlices& slices,
+            CounterHealth& counter_health, RandomSource& random, Effects& effects)
       : settings_(settings),
+        clock_(clock),
         slices_(slices),
         counter_health_(counter_health),
         random_(random),
@@ -87,8 +90,9 @@
   // Moves the units that the slice is not expected to need to the pool.
   void contribute_surplus(const std::string& customer, QuotaSlice& slice, Duration now);
 
-  // Each customer's pool gets a new name on the counter at the start of every period. The new pool starts
-  // with its full burst again, so periods are long to make this rare.
+  // Each customer's pool gets a new name on the counter at the start of every period. Periods follow Unix
+  // time, so that all gateways use the same name. The new pool starts with its full burst again, so periods
+  // are long to make this rare.
   static constexpr Duration kPeriod = std::chrono::seconds(48);
 
  private:
@@ -105,9 +109,10 @@
   void mark_exhausted(const std::string& customer, const QuotaSlice& slice, Duration now);
   void announce_exhausted(const std::string& customer, const QuotaSlice& slice, Duration now);
   void call_counter(std::string_view name, CounterCall call, double amount, Duration now);
-  static std::string pool_name(const std::string& customer, Duration now);
+  std::string pool_name(const std::string& customer, Duration now) const;
 
   const PolicySettings& settings_;
+  const SharedClock& clock_;
   QuotaSlices& slices_;
   CounterHealth& counter_health_;
   RandomSource& random_;
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -62,7 +62,7 @@
 bool SlowStart::is_in_time_slot(Duration now) const {
   const int gateways = std::max(1, settings_.gateway_count);
   const Duration slot = std::max<Duration>(settings_.contract.overload_window / gateways, 1us);
-  return (now / slot) % settings_.gateway_count == settings_.gateway_index;
+  return (clock_.unix_time(now) / slot) % settings_.gateway_count == settings_.gateway_index;
 }
 
 }  // namespace ironquay
--- a/src/policy/slow_start.hpp
+++ b/src/policy/slow_start.hpp
@@ -8,6 +8,7 @@
 // together do not overload the worker.
 #pragma once
 #include "policy/settings.hpp"
+#include "policy/shared_clock.hpp"
 #include "policy/worker.hpp"
 
 namespace ironquay {
@@ -22,7 +23,8 @@
 
 class SlowStart {
  public:
-  explicit SlowStart(const PolicySettings& settings) : settings_(settings) {}
+  // Both arguments must outlive this object. All gateways must have the same Unix time for their time slots.
+  SlowStart(const PolicySettings& settings, const SharedClock& clock) : settings_(settings), clock_(clock) {}
 
   // The guaranteed share of its full capacity that the worker has now; 1 for a warm worker.
   double capacity_share(const Worker& worker, Duration now) const;
@@ -47,6 +49,7 @@
   bool is_in_time_slot(Duration now) const;
 
   const PolicySettings& settings_;
+  const SharedClock& clock_;
 };
 
 }  // namespace ironquay
--- a/src/policy/types.hpp
+++ b/src/policy/types.hpp
@@ -5,7 +5,7 @@
 
 namespace ironquay {
 
-// A length of time, or a point in time counted from the epoch of the clock that all gateways share.
+// A length of time, or a point in time on the gateway's own monotonic clock unless a comment says Unix time.
 using Duration = std::chrono::microseconds;
 using RequestId = std::uint64_t;
 using WorkerId = std::uint32_t;
--- a/src/policy/worker.hpp
+++ b/src/policy/worker.hpp
@@ -12,8 +12,9 @@
   std::int64_t cell = 0;
   double relative_capacity = 1;  // full capacity divided by that of a standard worker
   WorkerStatus status = WorkerStatus::ready;
-  Duration started_at{0};     // when the worker started; 0: so long ago that the worker is warm
-  std::uint64_t address = 0;  // see EndpointUpdate::address
+  Duration started_at{0};      // when the process started, or 0 if so long ago that the worker is warm
+  Duration reported_start{0};  // the start as discovery reports it, in Unix time; identifies the process
+  std::uint64_t address = 0;   // see EndpointUpdate::address
 
   int in_flight = 0;  // this gateway's attempts in flight at the worker
   // The greatest number of attempts that this gateway may have in flight at the worker. If it is below one,
--- a/src/policy/worker_registry.cpp
+++ b/src/policy/worker_registry.cpp
@@ -2,6 +2,8 @@
 
 namespace ironquay {
 
+using namespace std::chrono_literals;
+
 void WorkerRegistry::begin_list(EndpointListKind kind) {
   list_kind_ = kind;
   listed_workers_.clear();
@@ -18,7 +20,8 @@
     worker = Worker();
     worker.in_flight = in_flight;
     worker.concurrency_limit = subset_.initial_concurrency_limit(ready_.size());
-    worker.started_at = update.started_at;
+    worker.reported_start = update.started_at;
+    worker.started_at = update.started_at > 0s ? clock_.start_time(update.started_at, now) : 0s;
     worker.budget_updated_at = now;
   }
   worker.status = update.status;
@@ -32,7 +35,7 @@
 
 bool WorkerRegistry::is_new_process(const Worker& known, const EndpointUpdate& update) {
   const bool returned = known.status == WorkerStatus::gone && update.status == WorkerStatus::ready;
-  return returned || update.started_at != known.started_at;
+  return returned || update.started_at != known.reported_start;
 }
 
 void WorkerRegistry::resolve_address_conflict(WorkerId id, Worker& worker) {
--- a/src/policy/worker_registry.hpp
+++ b/src/policy/worker_registry.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "policy/events.hpp"
+#include "policy/shared_clock.hpp"
 #include "policy/slow_start.hpp"
 #include "policy/worker.hpp"
 #include "policy/worker_subset.hpp"
@@ -16,8 +17,9 @@
 
 class WorkerRegistry {
  public:
-  WorkerRegistry(const SlowStart& slow_start, const WorkerSubset& subset)
-      : slow_start_(slow_start), subset_(subset) {}
+  // The arguments must outlive the registry.
+  WorkerRegistry(const SlowStart& slow_start, const WorkerSubset& subset, const SharedClock& clock)
+      : slow_start_(slow_start), subset_(subset), clock_(clock) {}
 
   // Starts to receive an endpoint list.
   void begin_list(EndpointListKind kind);
@@ -64,6 +66,7 @@
 
   const SlowStart& slow_start_;
   const WorkerSubset& subset_;
+  const SharedClock& clock_;
   std::map<WorkerId, Worker> workers_;
   std::vector<WorkerId> ready_;
   std::unordered_map<std::uint64_t, WorkerId>
--- a/test/faults/clients.cpp
+++ b/test/faults/clients.cpp
@@ -21,7 +21,8 @@
 std::ostream& operator<<(std::ostream& out, const ClientTotals& totals) {
   return out << totals.requests << " requests: " << totals.served << " served, " << totals.rejected
              << " rejected, " << totals.failed << " failed, " << totals.late << " late, " << totals.lost
-             << " lost, " << totals.wrong_value << " with a wrong value";
+             << " lost, " << totals.closed_ids.size() << " closed, " << totals.wrong_value
+             << " with a wrong value";
 }
 
 GoodClients::GoodClients(const Address& gateway, std::string prefix, ClientBehavior behavior)
@@ -38,7 +39,7 @@
 
 void GoodClients::run(std::size_t client) {
   int sequence = 0;
-  while (running_) {
+  while (running_ && may_connect_) {
     TestConnection connection(connect_tcp(gateway_));
     for (int used = 0; running_ && used < behavior_.requests_per_connection; used += behavior_.pipeline) {
       if (!exchange_requests(connection, client, sequence)) break;
@@ -59,9 +60,11 @@
   connection.try_send(bytes, behavior_.patience);
   bool usable = true;
   for (const Pending& one : pending) {
-    const Answer answer = usable ? receive_answer(connection, one) : Answer::none;
-    usable = usable && answer != Answer::none;
-    record(answer, one.sent_at);
+    const Answer answer = usable                   ? receive_answer(connection, one)
+                          : connection.has_ended() ? Answer::closed
+                                                   : Answer::none;
+    usable = usable && answer != Answer::none && answer != Answer::closed;
+    record(answer, one);
   }
   return usable;
 }
@@ -82,18 +85,21 @@
 Answer GoodClients::receive_answer(TestConnection& connection, const Pending& pending) const {
   const auto deadline = pending.sent_at + behavior_.patience + kLossGrace;
   std::string answer = connection.receive_line_until(deadline);
-  if (answer.empty()) return Answer::none;
+  if (answer.empty()) return connection.has_ended() ? Answer::closed : Answer::none;
   if (answer.starts_with("-BUSY")) return Answer::rejected;
   if (answer.starts_with("-")) return Answer::failed;
   answer += connection.receive_line_until(deadline);
   return answer == bulk_string("v-" + pending.id) ? Answer::served : Answer::wrong_value;
 }
 
-void GoodClients::record(Answer answer, Clock::time_point sent_at) {
-  const bool in_time = Clock::now() - sent_at <= behavior_.patience;
+void GoodClients::record(Answer answer, const Pending& pending) {
+  const bool in_time = Clock::now() - pending.sent_at <= behavior_.patience;
   const std::lock_guard lock(mutex_);
   ++totals_.requests;
   switch (answer) {
+    case Answer::closed:
+      totals_.closed_ids.push_back(pending.id);
+      return;
     case Answer::none:
       ++totals_.lost;
       return;
--- a/test/faults/clients.hpp
+++ b/test/faults/clients.hpp
@@ -13,7 +13,7 @@
 namespace ironquay::net {
 
 /// What became of a client's request.
-enum class Answer { served, rejected, failed, wrong_value, none };
+enum class Answer { served, rejected, failed, wrong_value, closed, none };
 
 /// What became of the requests of all good clients.
 struct ClientTotals {
@@ -24,6 +24,8 @@
   int late = 0;         // answered within kLossGrace after the client's time
   int lost = 0;         // not answered kLossGrace after the client's time
   int wrong_value = 0;  // served with a value that no worker made for the request
+  // Requests whose connection was closed without an answer. If the gateway has read them, they are lost.
+  std::vector<std::string> closed_ids;
 };
 std::ostream& operator<<(std::ostream& out, const ClientTotals& totals);
 
@@ -48,6 +50,8 @@
   ~GoodClients() { stop(); }
   GoodClients(const GoodClients&) = delete;
   GoodClients& operator=(const GoodClients&) = delete;
+  /// Uses the open connections until they end, but opens no further ones.
+  void stop_connecting() { may_connect_ = false; }
   /// Waits for the requests in flight. Returns the totals.
   ClientTotals stop();
 
@@ -62,12 +66,13 @@
   std::string request_id(std::size_t client, int sequence) const;
   std::string request(const std::string& id) const;
   Answer receive_answer(TestConnection& connection, const Pending& pending) const;
-  void record(Answer answer, Clock::time_point sent_at);
+  void record(Answer answer, const Pending& pending);
 
   Address gateway_;
   std::string prefix_;
   ClientBehavior behavior_;
   std::atomic<bool> running_ = true;
+  std::atomic<bool> may_connect_ = true;
   std::mutex mutex_;
   ClientTotals totals_;
   std::vector<std::thread> threads_;
--- a/test/faults/faulty_gateway.cpp
+++ b/test/faults/faulty_gateway.cpp
@@ -14,16 +14,28 @@
 
 }  // namespace
 
+WallClock::WallClock(GatewayProcess& process) {
+  char name[] = "/tmp/ironquay-clock-XXXXXX";
+  const FileDescriptor file(mkstemp(name));
+  file_ = name;
+  REQUIRE(ftruncate(file.get(), sizeof(std::int64_t)) == 0);
+  void* const shared = mmap(nullptr, sizeof(std::int64_t), PROT_READ | PROT_WRITE, MAP_SHARED, file.get(), 0);
+  REQUIRE(shared != MAP_FAILED);
+  shift_ms_ = static_cast<volatile std::int64_t*>(shared);
+  process.set_variable("LD_PRELOAD=" IRONQUAY_FAULT_SHIM);
+  process.set_variable("ASAN_OPTIONS=verify_asan_link_order=0");
+  process.set_variable("FAULT_SHIM_CLOCK=" + file_);
+}
+
+WallClock::~WallClock() {
+  munmap(const_cast<std::int64_t*>(shift_ms_), sizeof(std::int64_t));
+  unlink(file_.c_str());
+}
+
 FaultyGateway::FaultyGateway(const StubBackend& backend) : backend_(backend) {
   address_ = address_of(listen_tcp(any_port(kGatewayHost)));
   gossip_reservation_ = bind_udp(any_port(kGatewayHost));
   const std::string gossip_address = to_string(address_of(gossip_reservation_));
-  char clock_file[] = "/tmp/ironquay-clock-XXXXXX";
-  const FileDescriptor file(mkstemp(clock_file));
-  clock_file_ = clock_file;
-  REQUIRE(ftruncate(file.get(), sizeof(std::int64_t)) == 0);
-  clock_shift_ms_ = static_cast<volatile std::int64_t*>(
-      mmap(nullptr, sizeof(std::int64_t), PROT_READ | PROT_WRITE, MAP_SHARED, file.get(), 0));
   config = {{"name", "n0"},
             {"listen", to_string(address_)},
             {"discovery", backend.discovery_address()},
@@ -36,27 +48,13 @@
             {"settings", default_settings()}};
 }
 
-FaultyGateway::~FaultyGateway() {
-  munmap(const_cast<std::int64_t*>(clock_shift_ms_), sizeof(std::int64_t));
-  unlink(clock_file_.c_str());
-}
-
-void FaultyGateway::load_shim() {
-  if (std::exchange(shim_loaded_, true)) return;
-  process.set_variable("LD_PRELOAD=" IRONQUAY_FAULT_SHIM);
-  process.set_variable("ASAN_OPTIONS=verify_asan_link_order=0");
-  process.set_variable("FAULT_SHIM_CLOCK=" + clock_file_);
-}
-
 void FaultyGateway::inject_faults(const std::string& kinds, unsigned seed, unsigned one_in) {
-  load_shim();
   process.set_variable("FAULT_SHIM_CALLS=" + kinds);
   process.set_variable("FAULT_SHIM_SEED=" + std::to_string(seed));
   process.set_variable("FAULT_SHIM_ONE_IN=" + std::to_string(one_in));
 }
 
 void FaultyGateway::start() {
-  load_shim();
   process.write_config(config.dump());
   gossip_reservation_ = FileDescriptor();
   process.start(backend_.discovery_address());
@@ -81,6 +79,4 @@
   return start == std::string::npos ? std::string() : log.substr(start, log.find('\n', start) - start);
 }
 
-void FaultyGateway::shift_wall_clock(std::chrono::milliseconds shift) { *clock_shift_ms_ = shift.count(); }
-
 }  // namespace ironquay::net
--- a/test/faults/faulty_gateway.hpp
+++ b/test/faults/faulty_gateway.hpp
@@ -10,12 +10,25 @@
 
 namespace ironquay::net {
 
+/// Loads the shim into a gateway process and controls the wall clock that the process sees.
+class WallClock {
+ public:
+  /// Must be constructed before the process is started.
+  explicit WallClock(GatewayProcess& process);
+  ~WallClock();
+  WallClock(const WallClock&) = delete;
+  WallClock& operator=(const WallClock&) = delete;
+  /// Sets the wall clock forward or back. May be called at any time.
+  void shift(Milliseconds shift) { *shift_ms_ = shift.count(); }
+
+ private:
+  std::string file_;
+  volatile std::int64_t* shift_ms_ = nullptr;
+};
+
 class FaultyGateway {
  public:
   explicit FaultyGateway(const StubBackend& backend);
-  ~FaultyGateway();
-  FaultyGateway(const FaultyGateway&) = delete;
-  FaultyGateway& operator=(const FaultyGateway&) = delete;
 
   /// Makes system calls of the gateway fail; `kinds` are those of fault_shim.cpp, separated by commas. Must
   /// be called before start().
@@ -24,24 +37,17 @@
   void start();
   /// Sends SIGTERM, and SIGKILL after `patience` if the process is still running.
   void end(Milliseconds patience);
-  /// Sets the wall clock of the process forward or back. May be called at any time.
-  void shift_wall_clock(std::chrono::milliseconds shift);
-
   /// The last status line that the process has logged.
   std::string status_line() const;
   const Address& address() const { return address_; }
   Json config;
   GatewayProcess process;
+  WallClock wall_clock{process};
 
  private:
-  void load_shim();
-
   const StubBackend& backend_;
   Address address_{};
   FileDescriptor gossip_reservation_;
-  std::string clock_file_;
-  volatile std::int64_t* clock_shift_ms_ = nullptr;
-  bool shim_loaded_ = false;
 };
 
 }  // namespace ironquay::net
--- a/test/faults/flood_test.cpp
+++ b/test/faults/flood_test.cpp
@@ -50,6 +50,7 @@
   CHECK(gateway.process.exit_code() == 0);
   WARN(totals << "; peak memory " << peak_memory_kb << " kB; " << gateway.status_line());
   CHECK(totals.lost == 0);
+  CHECK(backend.received(totals.closed_ids) == 0);
   CHECK(totals.wrong_value == 0);
 #ifndef __SANITIZE_ADDRESS__  // the sanitizer's own memory is not limited
   CHECK(peak_memory_kb <= kMemoryLimitKb);
--- a/test/faults/stub_backend.cpp
+++ b/test/faults/stub_backend.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <set>
 
 #include "net/resp.hpp"
 
@@ -54,6 +55,14 @@
   return attempts_;
 }
 
+std::size_t StubBackend::received(const std::vector<std::string>& ids) const {
+  const std::set<std::string> wanted(ids.begin(), ids.end());
+  std::set<std::string> found;
+  for (const ReceivedAttempt& attempt : attempts())
+    if (wanted.contains(attempt.id)) found.insert(attempt.id);
+  return found.size();
+}
+
 void StubBackend::run() {
   while (running_) {
     std::vector<pollfd> events;
--- a/test/faults/stub_backend.hpp
+++ b/test/faults/stub_backend.hpp
@@ -44,6 +44,8 @@
   /// Breaks this many of the next attempts when they are received: the worker closes the connection.
   void break_attempts(int count) { attempts_to_break_ = count; }
   std::vector<ReceivedAttempt> attempts() const;
+  /// How many of the requests with these ids any worker has received.
+  std::size_t received(const std::vector<std::string>& ids) const;
 
  private:
   enum class Role { worker, counter, discovery };
--- a/test/net/support/test_connection.hpp
+++ b/test/net/support/test_connection.hpp
@@ -52,6 +52,8 @@
 
   /// Reads until the peer closes its side. Returns false if a read times out first.
   bool reaches_end();
+  /// Whether the end of stream or a reset has been read.
+  bool has_ended() const { return ended_; }
   /// Whether the connection ended with a reset. Valid after the end has been read.
   bool was_reset() const { return reset_; }
   /// Whether the peer has reset the connection. Does not read, unlike reaches_end(). A reset occurs when the
--- a/test/policy/input_scheduling_test.cpp
+++ b/test/policy/input_scheduling_test.cpp
@@ -14,7 +14,7 @@
   settings.routes[1].latency_objective = 640ms;
   settings.tick = 2ms;
   CHECK(InputScheduling(settings, 400).turn() == 100us);  // 640 ms / 16 / 400
-  CHECK(InputScheduling(settings, 1).turn() == 2ms);  // no longer than a round
+  CHECK(InputScheduling(settings, 1).turn() == 2ms);      // no longer than a round
   CHECK(InputScheduling(settings, 100'000).turn() > 0us);
   CHECK(InputScheduling(settings, 400).round() == 2ms);
 }
--- a/test/policy/slow_start_test.cpp
+++ b/test/policy/slow_start_test.cpp
@@ -8,11 +8,13 @@
 namespace ironquay {
 namespace {
 
+const SharedClock kClock{};
+
 TEST_CASE("the minimum slow-start rate is divided among the gateways, however many there are") {
   for (const int gateways : {8, 300}) {
     PolicySettings settings = default_settings();
     settings.gateway_count = gateways;
-    const SlowStart slow_start(settings);
+    const SlowStart slow_start(settings, kClock);
     Worker worker;
     worker.started_at = 1us;
     slow_start.refill_budget(worker, true, {0, 1, 1, 0}, 500ms);
@@ -26,7 +28,7 @@
   // gateways contain the warming worker. Each gateway sends 10 attempts per second to warm workers.
   PolicySettings settings = default_settings();
   settings.gateway_count = 300;
-  const SlowStart slow_start(settings);
+  const SlowStart slow_start(settings, kClock);
   const double window_seconds = 1;
   const double warm_rate = 20;  // upper bound of the attempts per second to one warm worker
   const int subsets_with_worker = 300 * 16 / 200;
@@ -74,7 +76,7 @@
 
 TEST_CASE("an attempt is sent to a warming worker only within its budget and in this gateway's time slot") {
   const PolicySettings settings = default_settings();
-  const SlowStart slow_start(settings);
+  const SlowStart slow_start(settings, kClock);
   Worker worker;
   worker.started_at = 1us;
   worker.slow_start_budget = 1;
--- a/test/policy/support.hpp
+++ b/test/policy/support.hpp
@@ -53,12 +53,12 @@
   // that the request needs in addition to the slice's tokens.
   void reply_to_take(const std::string& customer, double units, double total, double shortfall,
                      Duration sent_at) {
-    const CounterCall call{CounterPurpose::take_for_request, customer, units, 1, units, sent_at};
+    const CounterCall call{CounterPurpose::take_for_request, customer, units, 1, units, sent_at, sent_at};
     pool_.on_take_reply(call, customer + ":0", total, shortfall, sent_at);
   }
   // Adds a contribution of no units that awaits the counter's reply.
   void add_pending_contribution(const std::string& name, const std::string& customer, Duration sent_at) {
-    pool_.pending_calls_[name].push_back({CounterPurpose::contribute_surplus, customer, 0, 0, 0, sent_at});
+    pool_.pending_calls_[name].push_back({CounterPurpose::contribute_surplus, customer, 0, 0, 0, sent_at, sent_at});
     ++pool_.pending_call_count_;
   }
 
