System calls that are interrupted, short or fail for a moment lose no request

Cause: with edge-triggered events nothing wakes a connection after a read that was short or interrupted, or a write of which the system took a part; TcpStream took both for the end of what was possible. A signal could be left unread after EINTR. epoll_ctl that failed for lack of memory ended the process, as did socket() at the start. ENETUNREACH on connect counted against the worker. Change: system_call.hpp; TcpStream reads until EAGAIN and writes until EAGAIN; lack of memory is tried again after 5 ms (EventLoop::requeue_later), also for epoll_ctl; other send errors reach the owner as an event; connect continues after EINTR; accept skips errors of the accepted connection.

--- a/src/net/client_acceptor.cpp
+++ b/src/net/client_acceptor.cpp
@@ -20,6 +20,26 @@
 // lingered for kMinLinger.
 constexpr Duration kLingerRetryDelay = ClientConnection::kMinLinger / 5;
 
+// Errors of the connection that was to be accepted, and interruptions. Others may be waiting behind it.
+bool is_transient_accept_error(int error) {
+  switch (error) {
+    case EINTR:
+    case ECONNABORTED:
+    case ENETDOWN:
+    case EPROTO:
+    case ENOPROTOOPT:
+    case EHOSTDOWN:
+    case ENONET:
+    case EHOSTUNREACH:
+    case EOPNOTSUPP:
+    case ENETUNREACH:
+    case EPERM:
+      return true;
+    default:
+      return false;
+  }
+}
+
 [[noreturn]] void throw_listen_error(const Address& address) {
   throw std::system_error(errno, std::generic_category(), "listening at " + to_string(address));
 }
@@ -55,7 +75,7 @@
     FileDescriptor socket = accept_connection(socket_, peer);
     if (!socket) {
       // The connection was aborted while it was waiting, or a signal interrupted the call.
-      if (errno == ECONNABORTED || errno == EINTR) continue;
+      if (is_transient_accept_error(errno)) continue;
       if (errno == EAGAIN) return blocked_since_.reset();
       return on_accept_error(errno);
     }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -91,11 +91,11 @@
   while (!paused_ && !turn_is_over_) {
     const Duration read_at = context_.loop.precise_now();
     const bool received = stream_.read_once([&](std::string_view bytes) {
-      arrival_clock_.on_received(read_at, stream_.receive_buffer_drained());
+      arrival_clock_.on_received(read_at, stream_.received_less_than_requested());
       return process(bytes);
     });
-    if (!received) arrival_clock_.on_nothing_received(read_at);
-    if (stream_.receive_buffer_drained()) break;
+    if (stream_.receive_buffer_drained()) arrival_clock_.on_nothing_received(read_at);
+    if (!received) break;
     turn_is_over_ = turn_is_over_ || context_.turns.turn_is_over();
   }
   return turn_is_over_;
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::size_t kMaxEventsPerIteration = 256;
 constexpr Duration kMaxSleep = 1min;
+// The delay before a system call that has failed for lack of memory is tried again.
+constexpr Duration kRetryDelay = 5ms;
 
 Duration monotonic_time() {
   return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch());
@@ -25,10 +27,13 @@
     : epoll_(epoll_create1(EPOLL_CLOEXEC)),
       epoch_(unix_time() - monotonic_time()),
       now_(precise_now()),
+      retry_timer_(std::make_unique<Timer>(*this, [this] { retry_failed(); })),
       read_buffer_(std::make_unique<ReadBuffer>()) {
   if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
+EventLoop::~EventLoop() = default;
+
 void EventLoop::update_clock(Duration busy) {
   now_ = precise_now();
   longest_iteration_ = std::max(longest_iteration_, busy);
@@ -45,14 +50,44 @@
   }
   const std::uint32_t index = free_slots_.back();
   const Token token = (Token{slots_[index].generation} << 32) | index;
+  if (!add_to_epoll(token, fd)) {
+    pending_watches_.push_back({token, fd});
+    retry_timer_->expire_after(kRetryDelay);
+  }
+  free_slots_.pop_back();
+  slots_[index].handler = &handler;
+  return token;
+}
+
+// Returns false if the system lacks memory at the moment.
+bool EventLoop::add_to_epoll(Token token, int fd) {
   epoll_event event{};
   event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   event.data.u64 = token;
-  if (epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0)
+  if (epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) == 0) return true;
+  if (errno != ENOMEM && errno != ENOSPC)
     throw std::system_error(errno, std::generic_category(), "epoll_ctl");
-  free_slots_.pop_back();
-  slots_[index].handler = &handler;
-  return token;
+  return false;
+}
+
+void EventLoop::requeue_later(Token token, std::uint32_t events) {
+  requeued_later_.push_back({token, events});
+  if (!retry_timer_->is_active()) retry_timer_->expire_after(kRetryDelay);
+}
+
+// When a descriptor is added to the epoll set, the system reports all events that are pending on it.
+void EventLoop::retry_failed() {
+  requeued_.insert(requeued_.end(), requeued_later_.begin(), requeued_later_.end());
+  requeued_later_.clear();
+  std::erase_if(pending_watches_, [this](const PendingWatch& watch) {
+    return !is_watched(watch.token) || add_to_epoll(watch.token, watch.fd);
+  });
+  if (!pending_watches_.empty()) retry_timer_->expire_after(kRetryDelay);
+}
+
+bool EventLoop::is_watched(Token token) const {
+  const Slot& slot = slots_[static_cast<std::uint32_t>(token)];
+  return slot.generation == token >> 32 && slot.handler;
 }
 
 // The kernel removes the descriptor from the epoll set when the caller closes it.
@@ -67,8 +102,7 @@
 }
 
 void EventLoop::dispatch(Token token, std::uint32_t events) {
-  const Slot& slot = slots_[static_cast<std::uint32_t>(token)];
-  if (slot.generation == token >> 32 && slot.handler) slot.handler->on_events(events);
+  if (is_watched(token)) slots_[static_cast<std::uint32_t>(token)].handler->on_events(events);
 }
 
 // Events that handlers requeue during the dispatch are delivered in the next iteration.
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -50,6 +50,9 @@
 
   // Throws std::system_error.
   EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
 
   // The time at which the current iteration began, on a monotonic clock. It equals the Unix time when the
   // loop is created, and does not follow it when the system's clock is set.
@@ -64,7 +67,8 @@
   Duration take_longest_iteration() { return std::exchange(longest_iteration_, Duration(0)); }
 
   // Watches a descriptor for input, output and the peer's end of stream (edge-triggered). The handler must
-  // stay valid until unwatch(). Throws std::system_error.
+  // stay valid until unwatch(). If the system lacks the memory for it, it is tried again until it succeeds.
+  // Throws std::system_error if the descriptor cannot be watched at all.
   Token watch(int fd, Handler& handler);
   // Stops the delivery of events. The caller closes the descriptor. Does nothing if the descriptor is no
   // longer watched.
@@ -72,6 +76,9 @@
   // Delivers the events to the handler in the next iteration. Used when a handler stops before it has read
   // all input.
   void requeue(Token token, std::uint32_t events) { requeued_.push_back({token, events}); }
+  // Delivers the events to the handler after a short time. Used when a system call has failed for lack of
+  // memory, after which no event follows.
+  void requeue_later(Token token, std::uint32_t events);
   // Sets the background work, which must outlive the loop or be replaced by null.
   void set_background_work(BackgroundWork* work) { background_work_ = work; }
   // Destroys the handler at the end of the iteration, because one of its functions may be on the call stack.
@@ -112,9 +119,17 @@
     Token token = 0;
     std::uint32_t events = 0;
   };
+  // A descriptor that could not be added to the epoll set yet.
+  struct PendingWatch {
+    Token token = 0;
+    int fd = -1;
+  };
 
   void dispatch(Token token, std::uint32_t events);
   void dispatch_requeued();
+  bool add_to_epoll(Token token, int fd);
+  void retry_failed();
+  bool is_watched(Token token) const;
   void update_clock(Duration busy);
   void fire_due_timers();
   int epoll_timeout_ms() const;
@@ -134,9 +149,12 @@
   // The events being dispatched by dispatch_requeued(), otherwise empty. A member so that its memory is
   // reused.
   std::vector<RequeuedEvents> dispatching_;
+  std::vector<RequeuedEvents> requeued_later_;
+  std::vector<PendingWatch> pending_watches_;
   std::vector<std::unique_ptr<Handler>> to_destroy_;
   BackgroundWork* background_work_ = nullptr;
-  std::vector<Timer*> timers_;  // a binary min-heap, ordered by expiry time
+  std::vector<Timer*> timers_;          // a binary min-heap, ordered by expiry time
+  std::unique_ptr<Timer> retry_timer_;  // for requeued_later_ and pending_watches_
   std::unique_ptr<ReadBuffer> read_buffer_;
   bool read_buffer_locked_ = false;
   bool running_ = true;
--- a/src/net/gossip_socket.cpp
+++ b/src/net/gossip_socket.cpp
@@ -5,6 +5,7 @@
 #include <system_error>
 
 #include "net/log.hpp"
+#include "net/system_call.hpp"
 
 namespace ironquay::net {
 namespace {
@@ -43,8 +44,10 @@
 // Gossip tolerates lost messages, so a message that the system does not accept immediately is dropped.
 void GossipSocket::send_datagram(const Address& address, std::string_view bytes) {
   if (bytes.size() > kMaxMessageBytes) return log("gossip message too long bytes=%zu", bytes.size());
-  sendto(socket_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&address),
-         sizeof address);
+  retry_interrupted([&] {
+    return sendto(socket_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
+                  reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  });
 }
 
 void GossipSocket::on_events(std::uint32_t events) {
@@ -52,9 +55,12 @@
     std::array<char, kMaxMessageBytes + 1> buffer{};  // one more byte, to detect messages that are too long
     Address sender{};
     socklen_t sender_size = sizeof sender;
-    const ssize_t size = recvfrom(socket_.get(), buffer.data(), buffer.size(), 0,
-                                  reinterpret_cast<sockaddr*>(&sender), &sender_size);
+    const ssize_t size = retry_interrupted([&] {
+      return recvfrom(socket_.get(), buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr*>(&sender),
+                      &sender_size);
+    });
     if (size < 0 && errno == EAGAIN) return;
+    if (size < 0 && is_resource_shortage(errno)) return loop_.requeue_later(token_, events);
     if (size < 0 || static_cast<std::size_t>(size) > kMaxMessageBytes) continue;
     const std::optional<int> peer = find_peer(sender);
     if (peer) listener_.on_gossip(*peer, std::string_view(buffer.data(), static_cast<std::size_t>(size)));
--- a/src/net/signal_handler.cpp
+++ b/src/net/signal_handler.cpp
@@ -5,6 +5,8 @@
 
 #include <csignal>
 
+#include "net/system_call.hpp"
+
 namespace ironquay::net {
 namespace {
 
@@ -38,7 +40,8 @@
 
 void SignalHandler::on_events(std::uint32_t /*events*/) {
   signalfd_siginfo info{};
-  while (read(fd_.get(), &info, sizeof info) == sizeof info) on_signal_(static_cast<int>(info.ssi_signo));
+  while (retry_interrupted([&] { return read(fd_.get(), &info, sizeof info); }) == sizeof info)
+    on_signal_(static_cast<int>(info.ssi_signo));
 }
 
 }  // namespace ironquay::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <thread>
 
+#include "net/system_call.hpp"
+
 namespace ironquay::net {
 namespace {
 
@@ -29,6 +31,18 @@
 
 const sockaddr* as_sockaddr(const Address& address) { return reinterpret_cast<const sockaddr*>(&address); }
 
+// Waits for resources that another process may release. Used at startup only, because it blocks.
+template <typename Call>
+FileDescriptor retry_shortage(Call call) {
+  auto total_wait = kBindRetryInterval;
+  while (true) {
+    FileDescriptor result = call();
+    if (result || !is_resource_shortage(errno) || total_wait > kBindTimeout) return result;
+    std::this_thread::sleep_for(kBindRetryInterval);
+    total_wait += kBindRetryInterval;
+  }
+}
+
 FileDescriptor create_socket(int type) {
   return FileDescriptor(socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
@@ -73,7 +87,7 @@
 bool same_address(const Address& a, const Address& b) { return address_key(a) == address_key(b); }
 
 FileDescriptor bind_tcp(const Address& address) {
-  FileDescriptor socket = create_socket(SOCK_STREAM);
+  FileDescriptor socket = retry_shortage([] { return create_socket(SOCK_STREAM); });
   if (!socket) return FileDescriptor();
   const int on = 1;
   if (setsockopt(socket.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0) return FileDescriptor();
@@ -103,13 +117,15 @@
   FileDescriptor socket = create_socket(SOCK_STREAM);
   if (!socket) return socket;
   disable_nagle(socket);
-  const bool failed = connect(socket.get(), as_sockaddr(address), sizeof address) != 0;
-  if (failed && errno != EINPROGRESS) return FileDescriptor();
-  return socket;
+  // After an interruption the connect may be in progress or complete already.
+  const int result =
+      retry_interrupted([&] { return connect(socket.get(), as_sockaddr(address), sizeof address); });
+  const bool started = result == 0 || errno == EINPROGRESS || errno == EALREADY || errno == EISCONN;
+  return started ? std::move(socket) : FileDescriptor();
 }
 
 FileDescriptor bind_udp(const Address& address) {
-  FileDescriptor socket = create_socket(SOCK_DGRAM);
+  FileDescriptor socket = retry_shortage([] { return create_socket(SOCK_DGRAM); });
   if (!socket || !bind_with_retry(socket, address)) return FileDescriptor();
   return socket;
 }
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -8,6 +8,8 @@
 #include <array>
 #include <cerrno>
 
+#include "net/system_call.hpp"
+
 namespace ironquay::net {
 
 TcpStream::TcpStream(EventLoop& loop, FileDescriptor socket, EventLoop::Handler& owner, bool connected)
@@ -30,15 +32,17 @@
 }
 
 // Reads once and returns all unconsumed bytes. They are in the loop's buffer, or in `unread_` if earlier
-// reads left some. A short read shows that the system had no more bytes; bytes or an end of stream that
-// arrive later raise a new event.
+// reads left some. Only EAGAIN shows that the system has no more bytes, and that bytes or an end of stream
+// that arrive later raise a new event.
 std::string_view TcpStream::receive() {
   EventLoop::ReadBuffer& buffer = loop_.read_buffer();
   const std::size_t requested = std::min(buffer.size(), max_read_bytes_);
-  const ssize_t received = recv(socket_.get(), buffer.data(), requested, 0);
-  receive_buffer_drained_ = received < static_cast<ssize_t>(requested);
+  const ssize_t received =
+      retry_interrupted([&] { return recv(socket_.get(), buffer.data(), requested, 0); });
+  receive_buffer_drained_ = received < 0 && errno == EAGAIN;
+  short_read_ = received < static_cast<ssize_t>(requested);
   if (received == 0) end_ = ConnectionEnd::peer_closed;
-  if (received < 0 && errno != EAGAIN && errno != EINTR) end_ = ConnectionEnd::reset;
+  if (received < 0 && !receive_buffer_drained_) on_receive_error(errno);
   if (received <= 0) return {};
   const std::string_view bytes(buffer.data(), static_cast<std::size_t>(received));
   if (unread_.empty()) return bytes;
@@ -46,6 +50,19 @@
   return unread_;
 }
 
+void TcpStream::on_receive_error(int error) {
+  if (is_resource_shortage(error)) return loop_.requeue_later(token_, EPOLLIN);
+  end_ = ConnectionEnd::reset;
+}
+
+// After this the system reports no event, so the loop delivers one to the owner.
+void TcpStream::on_send_error(int error) {
+  if (error == EAGAIN) return;
+  if (is_resource_shortage(error)) return loop_.requeue_later(token_, EPOLLOUT);
+  end_ = ConnectionEnd::reset;
+  loop_.requeue(token_, EPOLLERR);
+}
+
 // Buffers the bytes that were not consumed, in no more memory than they need. An idle stream holds no memory.
 void TcpStream::retain_unconsumed(std::string_view bytes, std::size_t consumed) {
   const bool is_buffered = bytes.data() == unread_.data();
@@ -55,16 +72,20 @@
 
 void TcpStream::write(std::initializer_list<std::string_view> parts) {
   const bool writable = connected_ && unwritten_.empty() && end_ == ConnectionEnd::none;
-  std::size_t sent = writable ? send_now(parts) : 0;
+  const std::size_t sent_now = writable ? send_now(parts) : 0;
+  std::size_t sent = sent_now;
   for (std::string_view part : parts) {
     const std::size_t sent_of_part = std::min(sent, part.size());
     sent -= sent_of_part;
     part.remove_prefix(sent_of_part);
     unwritten_.append(part);
   }
+  const bool accepted_a_part = writable && sent_now > 0 && !unwritten_.empty();
+  if (accepted_a_part) flush();
 }
 
-// Returns the number of bytes that the system accepted; zero if the call failed.
+// Returns the number of bytes that the system accepted; zero if the call failed. The rest is flushed at once
+// if the system accepted a part only, because it may report no event.
 std::size_t TcpStream::send_now(std::initializer_list<std::string_view> parts) {
   std::array<iovec, kMaxWriteParts> buffers{};
   std::size_t count = 0;
@@ -72,17 +93,23 @@
   msghdr message{};
   message.msg_iov = buffers.data();
   message.msg_iovlen = count;
-  const ssize_t sent = sendmsg(socket_.get(), &message, MSG_NOSIGNAL);
+  const ssize_t sent = retry_interrupted([&] { return sendmsg(socket_.get(), &message, MSG_NOSIGNAL); });
+  if (sent < 0) on_send_error(errno);
   return sent > 0 ? static_cast<std::size_t>(sent) : 0;
 }
 
+// Writes until everything is written or the system reports EAGAIN, after which it raises an event.
 void TcpStream::flush() {
-  if (!connected_ || unwritten_.empty()) return;
+  if (!connected_ || unwritten_.empty() || end_ != ConnectionEnd::none) return;
   std::size_t sent = 0;
   while (sent < unwritten_.size()) {
+    const char* const next = unwritten_.data() + sent;
     const ssize_t accepted =
-        send(socket_.get(), unwritten_.data() + sent, unwritten_.size() - sent, MSG_NOSIGNAL);
-    if (accepted <= 0) break;
+        retry_interrupted([&] { return send(socket_.get(), next, unwritten_.size() - sent, MSG_NOSIGNAL); });
+    if (accepted < 0) {
+      on_send_error(errno);
+      break;
+    }
     sent += static_cast<std::size_t>(accepted);
   }
   unwritten_.erase(0, sent);
@@ -103,15 +130,12 @@
 
 bool TcpStream::nothing_to_read() const {
   char next = 0;
-  return recv(socket_.get(), &next, 1, MSG_PEEK) < 0 && errno == EAGAIN;
+  return retry_interrupted([&] { return recv(socket_.get(), &next, 1, MSG_PEEK); }) < 0 && errno == EAGAIN;
 }
 
 bool TcpStream::peer_has_disconnected() const {
   pollfd state{socket_.get(), POLLRDHUP, 0};
-  int ready = 0;
-  do {
-    ready = poll(&state, 1, 0);
-  } while (ready < 0 && errno == EINTR);
+  const int ready = retry_interrupted([&] { return poll(&state, 1, 0); });
   return ready > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR));
 }
 
--- a/src/net/tcp_stream.hpp
+++ b/src/net/tcp_stream.hpp
@@ -35,23 +35,21 @@
   // connection_end() shows whether the connect has failed.
   bool make_progress(std::uint32_t events);
 
-  // Reads until the socket has no more bytes, and passes all unconsumed bytes to `consume`. Stops earlier
-  // after kMaxReadsPerEvent reads, so that other connections are served, and continues in the next iteration
-  // of the loop. `consume` has the signature std::size_t(std::string_view) and returns how many bytes it has
-  // consumed. The other bytes are buffered and passed again, followed by those that arrive later.
-  // While `consume` of another stream is on the call stack, nothing is read until the next iteration, because
-  // the streams share a read buffer.
+  // Reads until the socket reports that it has no more bytes, and passes all unconsumed bytes to `consume`.
+  // Stops earlier after kMaxReadsPerEvent reads, so that other connections are served, and continues in the
+  // next iteration of the loop. `consume` has the signature std::size_t(std::string_view) and returns how
+  // many bytes it has consumed. The other bytes are buffered and passed again, followed by those that arrive
+  // later. While `consume` of another stream is on the call stack, nothing is read until the next iteration,
+  // because the streams share a read buffer.
   template <typename Consume>
   void read(std::uint32_t events, Consume consume) {
     if (loop_.read_buffer_is_locked()) return loop_.requeue(token_, events);
     const EventLoop::ReadBufferLock lock(loop_);
-    const bool to_end = events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR | EventLoop::kReadToEnd);
     for (int reads = 0; is_readable(); ++reads) {
       if (reads == kMaxReadsPerEvent) return loop_.requeue(token_, events);
       const std::string_view bytes = receive();
       if (bytes.empty()) return;
       retain_unconsumed(bytes, consume(bytes));
-      if (receive_buffer_drained_ && !to_end) return;
     }
   }
 
@@ -71,7 +69,7 @@
   }
 
   // Writes as many bytes as the system accepts and buffers the rest. There may be at most kMaxWriteParts
-  // parts. A failure is reported by the socket's next event.
+  // parts. After a failure the owner receives an event.
   void write(std::initializer_list<std::string_view> parts);
   // Half-closes the connection: the peer receives the end of stream.
   void shutdown_write();
@@ -98,6 +96,8 @@
   std::size_t unwritten_memory() const { return allocated_bytes(unwritten_); }
   // Whether the last read returned fewer bytes than requested, which shows that the system had no more.
   bool receive_buffer_drained() const { return receive_buffer_drained_; }
+  // Whether the last read returned fewer bytes than requested, so that the system probably had no more.
+  bool received_less_than_requested() const { return short_read_; }
   // Whether the system has neither bytes nor an end of stream to read. Makes a system call.
   bool nothing_to_read() const;
   // Whether the peer has closed its side or the connection is broken, even if bytes before that are unread.
@@ -115,6 +115,8 @@
   void retain_unconsumed(std::string_view bytes, std::size_t consumed);
   std::size_t send_now(std::initializer_list<std::string_view> parts);
   void flush();
+  void on_receive_error(int error);
+  void on_send_error(int error);
 
   EventLoop& loop_;
   FileDescriptor socket_;
@@ -124,6 +126,7 @@
   std::size_t max_read_bytes_ = EventLoop::kReadBufferBytes;
   bool connected_;
   bool receive_buffer_drained_ = false;
+  bool short_read_ = false;
   ConnectionEnd end_ = ConnectionEnd::none;
   int error_ = 0;
 };
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -80,7 +80,7 @@
 // nothing about the health of the worker.
 void UpstreamPool::on_send_failure(const Exchange& exchange, std::size_t attempt, WorkerId worker,
                                    int error) {
-  const bool refused = error == ECONNREFUSED || error == ENETUNREACH || error == EHOSTUNREACH;
+  const bool refused = error == ECONNREFUSED || error == EHOSTUNREACH;
   const auto reason = refused ? UpstreamCloseReason::connect_refused : UpstreamCloseReason::connection_limit;
   log("connection closed peer=worker addr=%s reason=%s errno=%d",
       to_string(workers_.at(worker).address).c_str(), to_string(reason), error);
