Tell workers the time that is left when the command is written

Cause: the command was built when the attempt was decided, and written when its connection was established, up to the connect timeout later. The time was also that of the iteration's start. Evidence: the new test, a connection that takes about a second: on the worker is told 2,994 ms when 1,991 ms are left. Change: UpstreamConnection asks for the command when it can write it, and tells the time left by the clock at that moment. An attempt without time left is not written (attempt-expired).

--- a/src/net/attempt_command.cpp
+++ b/src/net/attempt_command.cpp
@@ -37,7 +37,7 @@
   resp::append_bulk_string(out, exchange.request.customer);
   resp::append_bulk_string(out, exchange.request.client_request_id);
   append_attributes(out, exchange.request.attributes, timeout);
-  if (exchange.request.has_body) append_length(out, exchange.request.body.size());
+  if (exchange.request.has_body) resp::append_bulk_string(out, exchange.request.body);
 }
 
 }  // namespace ironquay::net
--- a/src/net/attempt_command.hpp
+++ b/src/net/attempt_command.hpp
@@ -6,10 +6,9 @@
 
 namespace ironquay::net {
 
-// Appends the command to `out`, without the body. If the request has a body, the output ends with the line
-// that gives the length of the body, and the caller sends the body and its CRLF. The words equal those of the
-// client's request, except that the value of the attribute `d` is replaced by `timeout` in milliseconds,
-// rounded up and at least 1. This is the time for which the gateway waits for the response.
+// Appends the command to `out`. The words equal those of the client's request, except that the value of the
+// attribute `d` is replaced by `timeout` in milliseconds, rounded up and at least 1. This is the time for
+// which the gateway waits for the response.
 void append_attempt_command(std::string& out, const Exchange& exchange, Duration timeout);
 
 }  // namespace ironquay::net
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -25,8 +25,8 @@
 // The memory for a request in flight besides its bytes: the state of the decisions and the entries of look-up
 // tables.
 constexpr std::size_t kRequestOverheadBytes = 512;
-// The bytes of a request are stored in the request, and once more in an attempt that waits for its
-// connection.
+// The bytes of a request are stored in the request, and once more in an attempt that the system has not
+// accepted yet.
 constexpr std::size_t kRequestCopies = 2;
 // If the client of a closing connection sends more than this after all responses are written, the gateway
 // does not wait for the linger timeout.
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -257,6 +257,11 @@
   });
 }
 
+const Exchange* Gateway::find_request(RequestId request) const {
+  const auto found = open_requests_.find(request);
+  return found == open_requests_.end() ? nullptr : found->second;
+}
+
 bool Gateway::may_send_attempt(RequestId request, std::size_t attempt) {
   const auto found = open_requests_.find(request);
   const bool client_waits = found != open_requests_.end() && !found->second->client_has_disconnected();
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -65,6 +65,7 @@
   void on_deadline_shortened(Exchange& exchange) override;
 
   // ---- UpstreamPool::Listener
+  const Exchange* find_request(RequestId request) const override;
   bool may_send_attempt(RequestId request, std::size_t attempt) override;
   void on_attempt_end(const AttemptEnd& end) override;
   void on_health_check_end(WorkerId worker, Outcome outcome, Duration elapsed) override;
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -69,12 +69,22 @@
       timeout_timer_(loop, [this] { on_timeout(); }),
       opened_at_(loop.now()) {}
 
-void UpstreamConnection::start_attempt(RequestId request, std::size_t attempt, Duration timeout,
-                                       std::initializer_list<std::string_view> command) {
+void UpstreamConnection::start_attempt(RequestId request, std::size_t attempt, Duration timeout) {
   start(Use::attempt, timeout);
   request_ = request;
   attempt_ = attempt;
-  stream_.write(command);
+  attempt_waits_for_connect_ = !stream_.connected();
+  if (!attempt_waits_for_connect_) write_attempt();
+}
+
+// The command is built here because it tells the worker the time that is left when it is written.
+void UpstreamConnection::write_attempt() {
+  attempt_waits_for_connect_ = false;
+  const Duration time_left = deadline_ - loop_.precise_now();
+  const std::string_view command =
+      time_left > Duration(0) ? owner_.attempt_command(request_, time_left) : std::string_view();
+  if (command.empty()) return close(UpstreamCloseReason::attempt_expired, Outcome::not_sent);
+  stream_.write({command});
 }
 
 void UpstreamConnection::start_health_check(Duration timeout) {
@@ -100,14 +110,16 @@
     return close(UpstreamCloseReason::connect_refused, Outcome::connect_failed);
   }
   if (!was_connected) timeout_timer_.expire_at(deadline_);
+  if (attempt_waits_for_connect_) write_attempt();
+  if (closed_) return;
   stream_.read(events, [&](std::string_view bytes) { return on_bytes(bytes); });
   if (!stream_.has_ended(events)) return;
   const bool closed_by_worker = stream_.connection_end() == ConnectionEnd::peer_closed;
   const bool was_reused = commands_started_ > 1;
   // If the connection ended before the last byte was written, the worker has not started the request.
-  const Outcome outcome = !stream_.all_written() ? Outcome::connect_failed
-                          : was_reused           ? Outcome::stale_connection
-                                                 : Outcome::connection_lost;
+  const Outcome outcome = has_unwritten_command() ? Outcome::connect_failed
+                          : was_reused            ? Outcome::stale_connection
+                                                  : Outcome::connection_lost;
   close(closed_by_worker ? UpstreamCloseReason::closed_by_worker : UpstreamCloseReason::reset_by_worker,
         outcome);
 }
@@ -117,13 +129,13 @@
 // window for the idempotency key may have ended.
 bool UpstreamConnection::attempt_has_expired(std::uint32_t events) {
   const bool can_write = (events & EPOLLOUT) && !(events & (EPOLLERR | EPOLLHUP));
-  if (!can_write || stream_.all_written() || use_ != Use::attempt) return false;
+  if (!can_write || !has_unwritten_command() || use_ != Use::attempt) return false;
   return is_outdated() || !owner_.may_send_attempt(request_, attempt_);
 }
 
 void UpstreamConnection::on_timeout() {
   if (!stream_.connected()) return close(UpstreamCloseReason::connect_timed_out, Outcome::connect_failed);
-  if (!stream_.all_written()) return close(UpstreamCloseReason::response_timed_out, Outcome::connect_failed);
+  if (has_unwritten_command()) return close(UpstreamCloseReason::response_timed_out, Outcome::connect_failed);
   if (stream_.unread().empty()) return close(UpstreamCloseReason::response_timed_out, Outcome::timed_out);
   // The value is not used even if it seems to be complete. If its stated length is wrong, it may include the
   // elements that are missing after it.
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -1,7 +1,6 @@
 // One TCP connection to a worker. It carries one attempt or one health check at a time, in RESP.
 #pragma once
 #include <cstdint>
-#include <initializer_list>
 #include <string_view>
 
 #include "config/settings_decoder.hpp"
@@ -64,6 +63,9 @@
     virtual bool is_outdated(WorkerId worker, Duration opened_at) const = 0;
     // Nothing listens at the worker's address: its process is gone.
     virtual void on_connect_refused(WorkerId worker) = 0;
+    // Returns the command of an attempt, which tells the worker that `time_left` is left. The view is valid
+    // until the next call. Empty if the request has ended.
+    virtual std::string_view attempt_command(RequestId request, Duration time_left) = 0;
     // Whether an attempt that could not be written immediately may still be written.
     virtual bool may_send_attempt(RequestId request, std::size_t attempt) = 0;
     // The connection is idle and can be used for another attempt or health check.
@@ -79,10 +81,9 @@
   UpstreamConnection(EventLoop& loop, const ConnectionSettings& settings, ResponseBufferBudget& budget,
                      Owner& owner, WorkerId worker, FileDescriptor fd, const Address& address);
 
-  // Writes a command, given in parts, and waits for its response until `timeout` has passed. The connection
-  // must be idle. The end is reported by Owner::on_attempt_end().
-  void start_attempt(RequestId request, std::size_t attempt, Duration timeout,
-                     std::initializer_list<std::string_view> command);
+  // Writes the command of an attempt as soon as the connection is established, and waits for its response
+  // until `timeout` has passed. The connection must be idle. The end is reported by Owner::on_attempt_end().
+  void start_attempt(RequestId request, std::size_t attempt, Duration timeout);
   // Writes a PING and waits for its response until `timeout` has passed. The connection must be idle. The end
   // is reported by Owner::on_health_check_end().
   void start_health_check(Duration timeout);
@@ -102,6 +103,8 @@
 
   void on_events(std::uint32_t events) override;
   void start(Use use, Duration timeout);
+  void write_attempt();
+  bool has_unwritten_command() const { return attempt_waits_for_connect_ || !stream_.all_written(); }
   bool attempt_has_expired(std::uint32_t events);
   void on_timeout();
   std::size_t on_bytes(std::string_view bytes);
@@ -126,13 +129,14 @@
   Timer timeout_timer_;
   Duration opened_at_;
   Use use_ = Use::idle;
-  RequestId request_ = 0;             // the request of the latest attempt
-  std::size_t attempt_ = 0;           // index of the latest attempt among the request's attempts
-  Duration use_since_{0};             // when the attempt, the health check or the idle time started
-  Duration deadline_{0};              // when the attempt or health check times out
-  std::size_t commands_started_ = 0;  // number of attempts and health checks so far
-  std::size_t buffered_bytes_ = 0;    // bytes received of a response that is incomplete
-  bool out_of_sync_ = false;          // it is unknown which command the next bytes received would answer
+  RequestId request_ = 0;                   // the request of the latest attempt
+  std::size_t attempt_ = 0;                 // index of the latest attempt among the request's attempts
+  Duration use_since_{0};                   // when the attempt, the health check or the idle time started
+  Duration deadline_{0};                    // when the attempt or health check times out
+  std::size_t commands_started_ = 0;        // number of attempts and health checks so far
+  std::size_t buffered_bytes_ = 0;          // bytes received of a response that is incomplete
+  bool attempt_waits_for_connect_ = false;  // its command is written when the connection is established
+  bool out_of_sync_ = false;  // it is unknown which command the next bytes received would answer
   bool closed_ = false;
 };
 
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -66,14 +66,15 @@
   errno = 0;
   UpstreamConnection* connection = acquire_connection(worker);
   if (!connection) return on_send_failure(exchange, attempt, worker, errno);
-  command_.clear();
-  append_attempt_command(command_, exchange, timeout);
   in_flight_.emplace(in_flight_key(exchange.id, attempt), connection);
-  if (exchange.request.has_body) {
-    connection->start_attempt(exchange.id, attempt, timeout, {command_, exchange.request.body, "\r\n"});
-  } else {
-    connection->start_attempt(exchange.id, attempt, timeout, {command_});
-  }
+  connection->start_attempt(exchange.id, attempt, timeout);
+}
+
+std::string_view UpstreamPool::attempt_command(RequestId request, Duration time_left) {
+  command_.clear();
+  const Exchange* exchange = listener_.find_request(request);
+  if (exchange) append_attempt_command(command_, *exchange, time_left);
+  return command_;
 }
 
 // If this gateway lacks descriptors or other resources, the outcome is not_sent, because such a failure says
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -26,6 +26,8 @@
   class Listener {
    public:
     virtual ~Listener() = default;
+    // Returns an open request; null if it has ended.
+    virtual const Exchange* find_request(RequestId request) const = 0;
     // An attempt has ended. May be called from within send_attempt(), cancel_attempt() and check_health().
     virtual void on_attempt_end(const AttemptEnd& end) = 0;
     // Whether an attempt that could not be written immediately may still be written. It had to wait until its
@@ -66,6 +68,7 @@
 
   bool is_outdated(WorkerId worker, Duration opened_at) const override;
   void on_connect_refused(WorkerId worker) override;
+  std::string_view attempt_command(RequestId request, Duration time_left) override;
   bool may_send_attempt(RequestId request, std::size_t attempt) override;
   void on_connection_idle(UpstreamConnection& connection) override;
   void on_connection_closed(UpstreamConnection& connection) override;
--- a/test/net/upstream_connection_test.cpp
+++ b/test/net/upstream_connection_test.cpp
@@ -163,6 +163,7 @@
 
 // Answers the request that is in flight with the value of its attempt.
 struct ForwardingListener : UpstreamPool::Listener {
+  const Exchange* find_request(RequestId) const override { return exchange; }
   void on_attempt_end(const AttemptEnd& end) override {
     if (end.outcome == Outcome::success) exchange->respond_with_value(end.value);
   }
--- a/test/net/upstream_late_connect_test.cpp
+++ b/test/net/upstream_late_connect_test.cpp
@@ -76,6 +76,24 @@
   REQUIRE(closes_without_command(late_worker.accept()));
 }
 
+TEST_CASE("the deadline told to a worker does not include the time that its connection took") {
+  FullBacklogServer late_worker;
+  Deployment deployment(1);
+  replace_worker_0(deployment, late_worker);
+  TestConnection client = deployment.ready_client();
+  client.send(lookup_with_timeout("1", 3000));
+  const auto sent_at = Clock::now();
+  late_worker.wait_for_pending_connect();
+  late_worker.free_backlog();
+  TestConnection worker = late_worker.accept();  // about a second later
+  const std::string command = worker.receive_command();
+  const auto left = std::chrono::duration_cast<Milliseconds>(sent_at + 3s - Clock::now());
+  const std::size_t told = command.find(",d=");
+  REQUIRE(told != std::string::npos);
+  REQUIRE(std::stol(command.substr(told + 3)) <= left.count() + 150);
+  REQUIRE(left < 2500ms);
+}
+
 TEST_CASE("an attempt whose client leaves right after the connection is established is never sent") {
   FullBacklogServer late_worker;
   Deployment deployment(1);
