--- a/src/lab/emulator/invariant_checker.cpp
+++ b/src/lab/emulator/invariant_checker.cpp
@@ -16,8 +16,12 @@
 constexpr double kUnitTolerance = 1e-6;
 // Arrivals at a worker vary like a Poisson process. The allowed number of arrivals is the expected number,
 // plus this many standard deviations, plus a constant, which matters if the expected number is small.
-constexpr double kArrivalDeviations = 3;
-constexpr double kExtraArrivals = 3;
+constexpr double kArrivalDeviations = 2;
+constexpr double kExtraArrivals = 2;
+// The same where fewer arrivals than kFewArrivals are expected.
+constexpr double kFewArrivals = 30;
+constexpr double kFewArrivalDeviations = 3;
+constexpr double kFewExtraArrivals = 3;
 
 // ---- Texts of the violated rules, which are part of the program's output
 
@@ -161,7 +165,10 @@
   const double capacity_fraction = capacity_share(contract, progress);
   const double expected_arrivals = scenario_.workers.overload_multiple * capacity_fraction *
                                    scenario_.workers.cores / mean_work * to_seconds(contract.overload_window);
-  return expected_arrivals + kArrivalDeviations * std::sqrt(expected_arrivals) + kExtraArrivals;
+  const bool few = expected_arrivals < kFewArrivals;
+  const double deviations = few ? kFewArrivalDeviations : kArrivalDeviations;
+  return expected_arrivals + deviations * std::sqrt(expected_arrivals) +
+         (few ? kFewExtraArrivals : kExtraArrivals);
 }
 
 // Removes the requests whose deadlines have passed. The checker needs no record of them: it reports any later
--- a/test/faults/clients.cpp
+++ b/test/faults/clients.cpp
@@ -96,6 +96,7 @@
   const bool in_time = Clock::now() - pending.sent_at <= behavior_.patience;
   const std::lock_guard lock(mutex_);
   ++totals_.requests;
+  totals_.sent_at.emplace(pending.id, pending.sent_at);
   switch (answer) {
     case Answer::closed:
       totals_.closed_ids.push_back(pending.id);
--- a/test/faults/clients.hpp
+++ b/test/faults/clients.hpp
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <unordered_map>
 #include <vector>
 
 #include "../net/support/messages.hpp"
@@ -26,6 +27,7 @@
   int wrong_value = 0;  // served with a value that no worker made for the request
   // Requests whose connection was closed without an answer. If the gateway has read them, they are lost.
   std::vector<std::string> closed_ids;
+  std::unordered_map<std::string, Clock::time_point> sent_at;  // by the request's id
 };
 std::ostream& operator<<(std::ostream& out, const ClientTotals& totals);
 
--- a/test/net/support/gateway_process.cpp
+++ b/test/net/support/gateway_process.cpp
@@ -50,7 +50,12 @@
   posix_spawn_file_actions_destroy(&files);
 }
 
-bool GatewayProcess::is_running() const { return kill(pid_, 0) == 0 && waitpid(pid_, nullptr, WNOHANG) == 0; }
+// Leaves the exit status for exit_code().
+bool GatewayProcess::is_running() const {
+  siginfo_t status{};
+  const int result = waitid(P_PID, static_cast<id_t>(pid_), &status, WEXITED | WNOHANG | WNOWAIT);
+  return result == 0 && status.si_pid == 0;
+}
 
 int GatewayProcess::exit_code() {
   int status = 0;
