--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -26,7 +26,7 @@
   class Handler {
    public:
     virtual ~Handler() = default;
-    // `events` contains edge-triggered epoll event bits, or kReadToEnd.
+    // `events` contains edge-triggered epoll event bits.
     virtual void on_events(std::uint32_t events) = 0;
   };
 
@@ -39,9 +39,6 @@
     virtual void run() = 0;
   };
 
-  // Passed to Handler::on_events() instead of epoll event bits. The handler should read everything that the
-  // descriptor has, including an end of stream, although epoll has reported no event.
-  static constexpr std::uint32_t kReadToEnd = 1u << 24;
   static constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
   using ReadBuffer = std::array<char, kReadBufferBytes>;
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -193,9 +193,9 @@
 }
 
 void Gateway::report_unserved(RequestId request, UnservedReason reason, std::size_t attempts) {
-  const auto found = open_requests_.find(request);
-  if (found == open_requests_.end()) return;
-  const std::string_view id = found->second->request.client_request_id;
+  const Exchange* exchange = find_request(request);
+  if (!exchange) return;
+  const std::string_view id = exchange->request.client_request_id;
   log_request("request unserved id=%.*s reason=%s attempts=%zu", static_cast<int>(id.size()), id.data(),
               to_string(reason), attempts);
 }
@@ -263,8 +263,8 @@
 }
 
 bool Gateway::may_send_attempt(RequestId request, std::size_t attempt) {
-  const auto found = open_requests_.find(request);
-  const bool client_waits = found != open_requests_.end() && !found->second->client_has_disconnected();
+  const Exchange* exchange = find_request(request);
+  const bool client_waits = exchange && !exchange->client_has_disconnected();
   return client_waits && balancer_.may_send_attempt(loop_.now(), request, attempt);
 }
 
@@ -285,9 +285,9 @@
 }
 
 void Gateway::log_failed_attempt(const AttemptEnd& end) const {
-  const auto found = open_requests_.find(end.request);
-  if (end.outcome == Outcome::success || found == open_requests_.end()) return;
-  const std::string_view id = found->second->request.client_request_id;
+  const Exchange* exchange = find_request(end.request);
+  if (end.outcome == Outcome::success || !exchange) return;
+  const std::string_view id = exchange->request.client_request_id;
   const std::string_view worker = worker_ids_.name_of(end.worker);
   log_request("attempt failed id=%.*s attempt=%zu worker=%.*s outcome=%s elapsed_ms=%lld",
               static_cast<int>(id.size()), id.data(), end.attempt, static_cast<int>(worker.size()),
