--- a/review/usual_clients.hpp
+++ b/review/usual_clients.hpp
@@ -1,4 +1,4 @@
-// The usual clients of the cases 6 and 8 and the three workers that serve them.
+// The usual clients of the cases 8 and 9 and the three workers that serve them.
 #pragma once
 #include "harness.hpp"
 
