Review case 7: another length of the answers in each round

Whether a round failed depended on the length of the answers, because the buffer of the gateway doubles as it grows. Each of the up to 8 rounds now has its own length, 51,200 to 65,536 bytes.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -5,24 +5,38 @@
 namespace review {
 namespace {
 
-constexpr PipelinePlan kPlan{
-    .clients = 3, .commands = 20, .chunks = 10, .step = 100ms, .spread = 100ms, .waves = 2, .pause = 4s};
-constexpr int kRounds = 8;  // each with a new gateway; the first one that breaks the rule ends the case
+// The length of the answers in each round, with a new gateway each. How much memory the gateway's buffer takes for the
+// same content depends on it. The first round that breaks the rule ends the case.
+constexpr std::size_t kValueBytesOfRounds[] = {57344, 59392, 55296, 61440, 53248, 65536, 63488, 51200};
+constexpr std::size_t kChunkBytes = 20 * kValueBytes;  // of the answers to the commands that are sent at once
 
-int play_round(Record& record) {
-  PipelineDay day(record, kPlan);
+PipelinePlan plan_of_round(std::size_t value_bytes) {
+  return {.clients = 3,
+          .commands = static_cast<int>(kChunkBytes / value_bytes),
+          .chunks = 10,
+          .step = 100ms,
+          .spread = 60ms,
+          .waves = 2,
+          .pause = 4s,
+          .value_bytes = value_bytes};
+}
+
+int play_round(Record& record, std::size_t value_bytes) {
+  PipelineDay day(record, plan_of_round(value_bytes));
   if (!day.gateway().becomes_ready()) return kCouldNotRun;
   day.play([&] { return day.gateway().has_ended(); });
-  day.record().line("%s peak_kib=%ld", day.totals().text().c_str(), day.gateway().peak_kib());
+  day.record().line("value_bytes=%zu %s peak_kib=%ld", value_bytes, day.totals().text().c_str(), day.gateway().peak_kib());
   if (day.gateway().has_ended() || day.totals().served == 0) return kCouldNotRun;
   return day.totals().lost > 0 ? kRuleBroken : kRuleHeld;
 }
 
 int run(const std::string& record_path) {
   Record record(record_path);
-  int result = kRuleHeld;
-  for (int round = 0; round < kRounds && result == kRuleHeld; ++round) result = play_round(record);
-  return result;
+  for (const std::size_t value_bytes : kValueBytesOfRounds) {
+    const int result = play_round(record, value_bytes);
+    if (result != kRuleHeld) return result;
+  }
+  return kRuleHeld;
 }
 
 }  // namespace
--- a/review/pipelines.hpp
+++ b/review/pipelines.hpp
@@ -29,6 +29,7 @@
   Milliseconds spread{0};  // the clients begin their waves spread over this time
   int waves = 0;
   Milliseconds pause{0};  // from the beginning of one wave to that of the next
+  std::size_t value_bytes = kValueBytes;  // of an answer
 };
 
 // A connection over which the gateway sends segments as over an Ethernet, not of the size of the loopback interface.
@@ -118,7 +119,7 @@
     }
     record_.line("worker %d: run id=%s", worker, words[2].c_str());
     std::this_thread::sleep_for(words[0] == "CALL.POST" ? kOrderTime : kLookupTime);
-    return served(std::string(kValueBytes, 'v'));
+    return served(std::string(plan_.value_bytes, 'v'));
   }
   bool was_run(const std::string& id) const {
     const std::lock_guard lock(mutex_);
