--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -5,7 +5,6 @@
 #include <variant>
 #include <vector>
 
-#include "net/buffer_memory.hpp"
 #include "net/log.hpp"
 
 namespace ironquay::net {
@@ -20,8 +19,6 @@
 // How much is read at a time while memory is scarce. A paused connection keeps at most this much of complete
 // commands, besides what it had read before.
 constexpr std::size_t kScarceMemoryReadBytes = std::size_t{4} * 1024;
-// The memory for a command in the pipeline besides its bytes, with the overhead of the allocations.
-constexpr std::size_t kCommandOverheadBytes = sizeof(ClientRequest) + 64;
 // The memory for a request in flight besides its bytes: the state of the decisions and the entries of look-up
 // tables.
 constexpr std::size_t kRequestOverheadBytes = 512;
@@ -38,6 +35,7 @@
                                    std::optional<Duration> unread_since)
     : context_(context),
       stream_(context.loop, std::move(socket), *this, true),
+      responses_(context, stream_),
       peer_(peer),
       idle_since_(context.loop.now()),
       arrival_clock_(unread_since.value_or(context.loop.now() - context.loop.scheduling_delay())),
@@ -58,9 +56,9 @@
 bool ClientConnection::take_turn() {
   context_.requests.release_finished();
   stream_.set_max_read_bytes(context_.memory.is_scarce() ? kScarceMemoryReadBytes : max_read_bytes());
-  in_read_batch_ = true;
+  responses_.begin_batch();
   has_unprocessed_input_ = process_input();
-  end_read_batch();
+  responses_.end_batch();
   if (stream_.connection_end() != ConnectionEnd::none) {
     const bool end_of_stream = stream_.connection_end() == ConnectionEnd::peer_closed;
     close(end_of_stream ? ClientCloseReason::client_eof : ClientCloseReason::client_reset);
@@ -136,13 +134,14 @@
 // While memory is scarce, a client gets a response to its earlier commands before further ones are processed.
 // A connection without a pending command is not paused, because no response would resume it.
 bool ClientConnection::should_pause_reading() const {
-  return pipeline_.size() >= kMaxPipelinedCommands || stream_.unwritten_bytes() > kMaxUnwrittenBytes ||
-         (!pipeline_.empty() && context_.memory.is_scarce());
+  return responses_.size() >= kMaxPipelinedCommands || stream_.unwritten_bytes() > kMaxUnwrittenBytes ||
+         (!responses_.empty() && context_.memory.is_scarce());
 }
 
 bool ClientConnection::may_resume_reading() const {
-  return pipeline_.size() < kMaxPipelinedCommands / 2 && stream_.unwritten_bytes() < kMaxUnwrittenBytes / 2 &&
-         (pipeline_.empty() || !context_.memory.is_scarce());
+  return responses_.size() < kMaxPipelinedCommands / 2 &&
+         stream_.unwritten_bytes() < kMaxUnwrittenBytes / 2 &&
+         (responses_.empty() || !context_.memory.is_scarce());
 }
 
 void ClientConnection::resume_reading_if_possible() {
@@ -171,7 +170,7 @@
 }
 
 void ClientConnection::handle_request(const resp::Command& command, CommandType type) {
-  ClientRequest& request = enqueue_request();
+  ClientRequest& request = responses_.enqueue(*this);
   const RequestParseResult result = parse_request(command, type, context_.settings);
   if (const RequestError* error = std::get_if<RequestError>(&result))
     return request.respond({error_response(*error)});
@@ -184,7 +183,7 @@
 
 void ClientConnection::accept_request(ClientRequest& request, std::size_t command_bytes) {
   request.time_left = time_left_of(request.request);
-  account(request, kRequestOverheadBytes + kRequestCopies * command_bytes);
+  responses_.account(request, kRequestOverheadBytes + kRequestCopies * command_bytes);
   const std::size_t max_open_requests = context_.settings.connection.max_open_requests;
   const bool too_many = max_open_requests > 0 && context_.requests.pending() > max_open_requests;
   if (too_many || context_.memory.is_exceeded()) return request.reject(Duration(0));
@@ -221,58 +220,11 @@
   return true;
 }
 
-ClientRequest& ClientConnection::enqueue_request() {
-  pipeline_.push_back(std::make_unique<ClientRequest>(*this, context_.requests));
-  context_.requests.on_enqueued();
-  context_.connections.mark_used(*this);
-  account(*pipeline_.back(), kCommandOverheadBytes);
-  return *pipeline_.back();
-}
-
-// Counts `bytes` against the memory limit until the request is removed from the pipeline.
-void ClientConnection::account(ClientRequest& request, std::size_t bytes) const {
-  request.accounted_bytes += bytes;
-  context_.memory.in_flight_bytes += bytes;
-}
-
-bool ClientConnection::has_room_for_value(const ClientRequest& request, std::size_t bytes) const {
-  return pipeline_.front().get() == &request || context_.memory.has_room_for_response(bytes);
-}
-
 void ClientConnection::deliver_response(ClientRequest& request,
                                         std::initializer_list<std::string_view> parts) {
-  if (pipeline_.front().get() == &request) return write_first_response(parts);
-  account(request, request.buffer_response(parts));
-}
-
-// Writes the response to the first command in the pipeline, and then the buffered responses that directly
-// follow it.
-void ClientConnection::write_first_response(std::initializer_list<std::string_view> parts) {
-  write(parts);
-  remove_first_request();
-  while (!pipeline_.empty() && pipeline_.front()->has_response()) {
-    write({pipeline_.front()->buffered_response()});
-    remove_first_request();
-  }
-  if (!in_read_batch_) after_progress();
-}
-
-void ClientConnection::write(std::initializer_list<std::string_view> parts) {
-  if (!in_read_batch_) return stream_.write(parts);
-  for (const std::string_view part : parts) read_batch_responses_.append(part);
-}
-
-void ClientConnection::remove_first_request() {
-  context_.memory.in_flight_bytes -= pipeline_.front()->accounted_bytes;
-  context_.requests.finish(std::move(pipeline_.front()));
-  pipeline_.pop_front();
+  if (!responses_.deliver(request, parts)) return;
   idle_since_ = context_.loop.now();
-}
-
-void ClientConnection::end_read_batch() {
-  in_read_batch_ = false;
-  if (!read_batch_responses_.empty()) stream_.write({read_batch_responses_});
-  release_memory(read_batch_responses_);
+  if (!responses_.in_batch()) after_progress();
 }
 
 // Called after bytes were read or written. Resumes reading when the limits allow it, and starts or continues
@@ -300,8 +252,7 @@
   ClientMemory& memory = context_.memory;
   memory.input_bytes += stream_.unread_memory() - accounted_input_bytes_;
   accounted_input_bytes_ = stream_.unread_memory();
-  memory.unwritten_bytes += stream_.unwritten_memory() - accounted_unwritten_bytes_;
-  accounted_unwritten_bytes_ = stream_.unwritten_memory();
+  responses_.account_unwritten();
 }
 
 bool ClientConnection::is_slow_reader() const {
@@ -310,11 +261,10 @@
 }
 
 void ClientConnection::shorten_deadlines(Duration time_left) {
-  std::vector<ClientRequest*> shortened;
-  for (const auto& request : pipeline_) {
-    const bool is_later = request->deadline - context_.loop.now() > time_left;
-    if (!request->has_response() && is_later) shortened.push_back(request.get());
-  }
+  std::vector<ClientRequest*> shortened = responses_.open_requests();
+  std::erase_if(shortened, [&](const ClientRequest* request) {
+    return request->deadline - context_.loop.now() <= time_left;
+  });
   for (ClientRequest* request : shortened) {
     request->time_left = time_left;
     // While the listener handles one request, it may respond to another.
@@ -326,7 +276,7 @@
   if (is_closing()) return;
   close_reason_ = reason;
   if (std::exchange(has_sent_request_, false)) context_.limiter.on_request_connection_removed();
-  if (!in_read_batch_ && all_responses_written()) half_close();
+  if (!responses_.in_batch() && all_responses_written()) half_close();
 }
 
 void ClientConnection::reject_incomplete_command() {
@@ -356,7 +306,7 @@
 // Drops all responses that are not written, and half-closes the connection.
 void ClientConnection::discard_responses() {
   stream_.discard_unwritten();
-  release_requests();
+  responses_.release_requests();
   half_close();
 }
 
@@ -364,33 +314,14 @@
   if (closed_) return;
   closed_ = true;
   log("connection closed peer=client addr=%s reason=%s commands=%zu in_flight=%zu", to_string(peer_).c_str(),
-      to_string(close_reason_.value_or(reason)), command_count_, pipeline_.size());
+      to_string(close_reason_.value_or(reason)), command_count_, responses_.size());
   stream_.close();
   context_.turns.remove(*this);
   if (std::exchange(has_sent_request_, false)) context_.limiter.on_request_connection_removed();
-  release_requests();
+  responses_.release_requests();
   context_.memory.input_bytes -= std::exchange(accounted_input_bytes_, 0);
   context_.loop.destroy_later(context_.connections.remove(*this));
   context_.on_connection_closed();
 }
 
-// Removes all requests from the pipeline. The listener is notified of those that have no response yet.
-void ClientConnection::release_requests() {
-  context_.memory.unwritten_bytes -= std::exchange(accounted_unwritten_bytes_, 0);
-  auto requests = std::move(pipeline_);
-  pipeline_.clear();
-  // All requests are detached before the listener is called, because while it handles one request, it may
-  // respond to another.
-  for (const auto& request : requests) request->detach_from_connection();
-  for (auto& owned : requests) {
-    ClientRequest& request = *owned;
-    context_.memory.in_flight_bytes -= request.accounted_bytes;
-    context_.requests.finish(std::move(owned));
-    if (request.has_response()) continue;
-    context_.abandoned_requests.on_disconnect(request.request.client_request_id, request.request.route,
-                                              request.attempts_sent, context_.loop.now());
-    context_.listener.on_client_disconnect(request);
-  }
-}
-
 }  // namespace ironquay::net
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -4,11 +4,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <initializer_list>
-#include <memory>
 #include <optional>
-#include <string>
 #include <string_view>
 
 #include "net/arrival_clock.hpp"
@@ -20,6 +17,7 @@
 #include "net/file_descriptor.hpp"
 #include "net/request_parser.hpp"
 #include "net/resp.hpp"
+#include "net/response_pipeline.hpp"
 #include "net/socket.hpp"
 #include "net/tcp_stream.hpp"
 #include "net/timer.hpp"
@@ -74,7 +72,7 @@
   // Whether at least `time` has passed since the connection was accepted, last completed a response, or was
   // half-closed, whichever is latest.
   bool is_idle_for(Duration time) const { return context_.loop.now() - idle_since_ >= time; }
-  bool all_responses_written() const { return pipeline_.empty() && stream_.all_written(); }
+  bool all_responses_written() const { return responses_.empty() && stream_.all_written(); }
   // Whether commands have been received that are not processed or whose responses are not written.
   bool has_unfinished_commands() const {
     return !all_responses_written() || (!stream_.unread().empty() && (paused_ || has_unprocessed_input_));
@@ -90,8 +88,10 @@
   bool is_closed() const { return closed_; }
   // Whether the gateway has half-closed the connection.
   bool is_lingering() const { return table_position.is_lingering; }
-  // Whether a value of this size can be delivered: it can be written at once, or there is memory to keep it.
-  bool has_room_for_value(const ClientRequest& request, std::size_t bytes) const;
+  // See ResponsePipeline::has_room_for_value().
+  bool has_room_for_value(const ClientRequest& request, std::size_t bytes) const {
+    return responses_.has_room_for_value(request, bytes);
+  }
   // Whether the system has neither bytes nor an end of stream to read.
   bool nothing_to_read() const { return stream_.nothing_to_read(); }
   // Whether the client has closed its side, or the connection is broken.
@@ -114,15 +114,9 @@
   void accept_request(ClientRequest& request, std::size_t command_bytes);
   Duration time_left_of(const RequestMessage& message) const;
   bool try_free_request_id(std::string_view client_request_id);
-  ClientRequest& enqueue_request();
-  void account(ClientRequest& request, std::size_t bytes) const;
-  void respond_to_command(std::string_view response) { enqueue_request().respond({response}); }
+  void respond_to_command(std::string_view response) { responses_.enqueue(*this).respond({response}); }
 
   // ---- Writing responses
-  void write_first_response(std::initializer_list<std::string_view> parts);
-  void write(std::initializer_list<std::string_view> parts);
-  void remove_first_request();
-  void end_read_batch();
   void after_progress();
   void account_buffers();
   bool is_slow_reader() const;
@@ -131,26 +125,20 @@
   void on_linger_timeout();
   void half_close();
   void discard_responses();
-  void release_requests();
 
   ClientContext& context_;
   TcpStream stream_;
+  ResponsePipeline responses_;
   Address peer_;
   Duration idle_since_;  // start of the idle time that is_idle_for() checks
   ArrivalClock arrival_clock_;
-  Timer linger_timer_;  // closes a lingering connection; discards the responses of a slow reader
-  // The commands whose responses are not written yet, in the order in which they were received.
-  std::deque<std::unique_ptr<ClientRequest>> pipeline_;
-  // Responses produced while a batch of input is processed; they are written together after the batch.
-  std::string read_batch_responses_;
-  bool in_read_batch_ = false;
-  bool paused_ = false;                 // no commands are processed until there is room for their responses
-  bool turn_is_over_ = false;           // set while input is processed
-  bool has_unprocessed_input_ = false;  // received commands wait for the next turn
-  std::size_t command_count_ = 0;       // complete commands received on this connection
-  std::size_t discarded_bytes_ = 0;     // input discarded since begin_close()
-  std::size_t accounted_input_bytes_ = 0;      // this connection's share of ClientMemory::input_bytes
-  std::size_t accounted_unwritten_bytes_ = 0;  // this connection's share of ClientMemory::unwritten_bytes
+  Timer linger_timer_;         // closes a lingering connection; discards the responses of a slow reader
+  bool paused_ = false;        // no commands are processed until there is room for their responses
+  bool turn_is_over_ = false;  // set while input is processed
+  bool has_unprocessed_input_ = false;     // received commands wait for the next turn
+  std::size_t command_count_ = 0;          // complete commands received on this connection
+  std::size_t discarded_bytes_ = 0;        // input discarded since begin_close()
+  std::size_t accounted_input_bytes_ = 0;  // this connection's share of ClientMemory::input_bytes
   bool has_sent_request_ = false;
   std::optional<ClientCloseReason> close_reason_;  // set when closing begins
   bool closed_ = false;
