--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -38,6 +38,7 @@
       responses_(context, stream_),
       peer_(peer),
       idle_since_(context.loop.now()),
+      input_memory_(context.memory.input_bytes),
       arrival_clock_(unread_since.value_or(context.loop.now() - context.loop.scheduling_delay())),
       linger_timer_(context.loop, [this] { on_linger_timeout(); }) {}
 
@@ -183,7 +184,7 @@
 
 void ClientConnection::accept_request(ClientRequest& request, std::size_t command_bytes) {
   request.time_left = time_left_of(request.request);
-  responses_.account(request, kRequestOverheadBytes + kRequestCopies * command_bytes);
+  request.memory.add(kRequestOverheadBytes + kRequestCopies * command_bytes);
   const std::size_t max_open_requests = context_.settings.connection.max_open_requests;
   const bool too_many = max_open_requests > 0 && context_.requests.pending() > max_open_requests;
   if (too_many || context_.memory.is_exceeded()) return request.reject(Duration(0));
@@ -249,9 +250,7 @@
 // Updates the memory that the connection's buffers count for.
 void ClientConnection::account_buffers() {
   if (closed_) return;
-  ClientMemory& memory = context_.memory;
-  memory.input_bytes += stream_.unread_memory() - accounted_input_bytes_;
-  accounted_input_bytes_ = stream_.unread_memory();
+  input_memory_.set(stream_.unread_memory());
   responses_.account_unwritten();
 }
 
@@ -319,7 +318,7 @@
   context_.turns.remove(*this);
   if (std::exchange(has_sent_request_, false)) context_.limiter.on_request_connection_removed();
   responses_.release_requests();
-  context_.memory.input_bytes -= std::exchange(accounted_input_bytes_, 0);
+  input_memory_.set(0);
   context_.loop.destroy_later(context_.connections.remove(*this));
   context_.on_connection_closed();
 }
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -15,6 +15,7 @@
 #include "net/connection_table.hpp"
 #include "net/event_loop.hpp"
 #include "net/file_descriptor.hpp"
+#include "net/memory_share.hpp"
 #include "net/request_parser.hpp"
 #include "net/resp.hpp"
 #include "net/response_pipeline.hpp"
@@ -130,15 +131,15 @@
   TcpStream stream_;
   ResponsePipeline responses_;
   Address peer_;
-  Duration idle_since_;  // start of the idle time that is_idle_for() checks
+  Duration idle_since_;       // start of the idle time that is_idle_for() checks
+  MemoryShare input_memory_;  // the memory of the stream's unread bytes
   ArrivalClock arrival_clock_;
   Timer linger_timer_;         // closes a lingering connection; discards the responses of a slow reader
   bool paused_ = false;        // no commands are processed until there is room for their responses
   bool turn_is_over_ = false;  // set while input is processed
-  bool has_unprocessed_input_ = false;     // received commands wait for the next turn
-  std::size_t command_count_ = 0;          // complete commands received on this connection
-  std::size_t discarded_bytes_ = 0;        // input discarded since begin_close()
-  std::size_t accounted_input_bytes_ = 0;  // this connection's share of ClientMemory::input_bytes
+  bool has_unprocessed_input_ = false;  // received commands wait for the next turn
+  std::size_t command_count_ = 0;       // complete commands received on this connection
+  std::size_t discarded_bytes_ = 0;     // input discarded since begin_close()
   bool has_sent_request_ = false;
   std::optional<ClientCloseReason> close_reason_;  // set when closing begins
   bool closed_ = false;
--- a/src/net/client_context.hpp
+++ b/src/net/client_context.hpp
@@ -39,7 +39,7 @@
                .connection_share_bytes = memory_limit_bytes / std::max<std::size_t>(max_connections, 1)},
         abandoned_requests(decoded_settings.policy_settings, memory_limit_bytes / kAbandonedRequestsDivisor),
         limiter(event_loop, connections, max_connections),
-        turns(event_loop, InputScheduling(decoded_settings.policy_settings, max_connections)) {}
+        turns(event_loop, requests, InputScheduling(decoded_settings.policy_settings, max_connections)) {}
   ~ClientContext() = default;
   ClientContext(const ClientContext&) = delete;
   ClientContext& operator=(const ClientContext&) = delete;
--- a/src/net/client_request.cpp
+++ b/src/net/client_request.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "net/buffer_memory.hpp"
 #include "net/client_connection.hpp"
 
 namespace ironquay::net {
@@ -34,9 +35,17 @@
   if (connection_) connection_->deliver_response(*this, parts);
 }
 
-std::size_t ClientRequest::buffer_response(std::initializer_list<std::string_view> parts) {
+void ClientRequest::buffer_response(std::initializer_list<std::string_view> parts) {
+  std::size_t total_size = 0;
+  for (const std::string_view part : parts) total_size += part.size();
+  buffered_response_.reserve(total_size);
   for (const std::string_view part : parts) buffered_response_.append(part);
-  return buffered_response_.size();
+  memory.add(allocated_bytes(buffered_response_));
+}
+
+std::string ClientRequest::take_buffered_response() {
+  memory.subtract(allocated_bytes(buffered_response_));
+  return std::move(buffered_response_);
 }
 
 void ClientRequest::detach_from_connection() {
--- a/src/net/client_request.hpp
+++ b/src/net/client_request.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "net/exchange.hpp"
+#include "net/memory_share.hpp"
 #include "net/request_registry.hpp"
 #include "policy/types.hpp"
 
@@ -18,8 +19,9 @@
 // immediately, and its Exchange::request stays empty.
 class ClientRequest : public Exchange {
  public:
-  ClientRequest(ClientConnection& connection, RequestRegistry& registry)
-      : connection_(&connection), registry_(registry) {}
+  // `in_flight_bytes` is the total that the request's memory counts against until the request is destroyed.
+  ClientRequest(ClientConnection& connection, RequestRegistry& registry, std::size_t& in_flight_bytes)
+      : memory(in_flight_bytes), connection_(&connection), registry_(registry) {}
 
   void respond_with_value(std::string_view raw_value) override;
   void reject(Duration retry_after) override;
@@ -29,9 +31,10 @@
   // already.
   void respond(std::initializer_list<std::string_view> parts);
 
-  // Stores the response until the responses to earlier commands are written. Returns its size in bytes.
-  std::size_t buffer_response(std::initializer_list<std::string_view> parts);
-  std::string_view buffered_response() const { return buffered_response_; }
+  // Stores the response until the responses to earlier commands are written.
+  void buffer_response(std::initializer_list<std::string_view> parts);
+  // Passes the stored response to the caller.
+  std::string take_buffered_response();
   bool has_response() const { return has_response_; }
 
   // Called when the connection drops the request. Responses are ignored from then on.
@@ -39,8 +42,8 @@
   // The connection that received the command; null after detach_from_connection().
   ClientConnection* connection() const { return connection_; }
 
-  Duration deadline{0};             // when the response is due, in the time of EventLoop::now()
-  std::size_t accounted_bytes = 0;  // this request's share of ClientMemory::in_flight_bytes
+  Duration deadline{0};  // when the response is due, in the time of EventLoop::now()
+  MemoryShare memory;    // the memory of the request, its bytes and its stored response
 
  private:
   void unregister_id();
--- a/src/net/client_turns.cpp
+++ b/src/net/client_turns.cpp
@@ -4,8 +4,8 @@
 
 namespace ironquay::net {
 
-ClientTurns::ClientTurns(EventLoop& loop, const InputScheduling& scheduling)
-    : loop_(loop), scheduling_(scheduling) {
+ClientTurns::ClientTurns(EventLoop& loop, RequestRegistry& requests, const InputScheduling& scheduling)
+    : loop_(loop), requests_(requests), scheduling_(scheduling) {
   loop_.set_background_work(this);
 }
 
@@ -30,6 +30,7 @@
     turn_end_ = loop_.precise_now() + scheduling_.turn();
     if (connection.take_turn()) enqueue(connection);
   }
+  requests_.release_finished();
 }
 
 }  // namespace ironquay::net
--- a/src/net/request_registry.hpp
+++ b/src/net/request_registry.hpp
@@ -28,6 +28,7 @@
   void finish(std::unique_ptr<ClientRequest> request);
   // Destroys the finished requests. Must not be called from within a function of a request.
   void release_finished();
+  bool has_finished() const { return !finished_.empty(); }
 
   // Makes the request available to find(). The request must own its buffers. Does nothing if a request with
   // this id is registered already.
--- a/src/net/response_pipeline.cpp
+++ b/src/net/response_pipeline.cpp
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "net/buffer_memory.hpp"
 #include "net/client_connection.hpp"
 
 namespace ironquay::net {
@@ -14,20 +13,18 @@
 }  // namespace
 
 ClientRequest& ResponsePipeline::enqueue(ClientConnection& connection) {
-  requests_.push_back(std::make_unique<ClientRequest>(connection, context_.requests));
+  requests_.push_back(
+      std::make_unique<ClientRequest>(connection, context_.requests, context_.memory.in_flight_bytes));
   context_.requests.on_enqueued();
   context_.connections.mark_used(connection);
-  account(*requests_.back(), kCommandOverheadBytes);
+  requests_.back()->memory.add(kCommandOverheadBytes);
   return *requests_.back();
 }
 
-void ResponsePipeline::account(ClientRequest& request, std::size_t bytes) const {
-  request.accounted_bytes += bytes;
-  context_.memory.in_flight_bytes += bytes;
-}
-
 bool ResponsePipeline::has_room_for_value(const ClientRequest& request, std::size_t bytes) const {
-  return requests_.front().get() == &request || context_.memory.has_room_for_response(bytes);
+  const bool is_next = requests_.front().get() == &request;
+  return is_next ? context_.memory.has_room_for_next_response(bytes)
+                 : context_.memory.has_room_for_response(bytes);
 }
 
 bool ResponsePipeline::deliver(ClientRequest& request, std::initializer_list<std::string_view> parts) {
@@ -35,43 +32,37 @@
   if (is_first) {
     write_first(parts);
   } else {
-    account(request, request.buffer_response(parts));
+    request.buffer_response(parts);
   }
   return is_first;
 }
 
 // Writes the response to the first command in the pipeline, and then the buffered responses that directly
-// follow it.
+// follow it. Their buffers are passed on, so that this takes no further memory.
 void ResponsePipeline::write_first(std::initializer_list<std::string_view> parts) {
-  write(parts);
+  in_batch_ ? stream_.enqueue(parts) : stream_.write(parts);
   remove_first();
   while (!requests_.empty() && requests_.front()->has_response()) {
-    write({requests_.front()->buffered_response()});
+    stream_.enqueue(requests_.front()->take_buffered_response());
     remove_first();
   }
+  if (!in_batch_) stream_.flush();
+  account_unwritten();
 }
 
-void ResponsePipeline::write(std::initializer_list<std::string_view> parts) {
-  if (!in_batch_) return stream_.write(parts);
-  for (const std::string_view part : parts) batch_responses_.append(part);
-}
-
+// The request keeps its memory, and counts for it, until the registry destroys it.
 void ResponsePipeline::remove_first() {
-  context_.memory.in_flight_bytes -= requests_.front()->accounted_bytes;
   context_.requests.finish(std::move(requests_.front()));
   requests_.pop_front();
 }
 
 void ResponsePipeline::end_batch() {
   in_batch_ = false;
-  if (!batch_responses_.empty()) stream_.write({batch_responses_});
-  release_memory(batch_responses_);
+  stream_.flush();
+  account_unwritten();
 }
 
-void ResponsePipeline::account_unwritten() {
-  context_.memory.unwritten_bytes += stream_.unwritten_memory() - accounted_unwritten_bytes_;
-  accounted_unwritten_bytes_ = stream_.unwritten_memory();
-}
+void ResponsePipeline::account_unwritten() { unwritten_memory_.set(stream_.unwritten_memory()); }
 
 std::vector<ClientRequest*> ResponsePipeline::open_requests() const {
   std::vector<ClientRequest*> open;
@@ -81,7 +72,7 @@
 }
 
 void ResponsePipeline::release_requests() {
-  context_.memory.unwritten_bytes -= std::exchange(accounted_unwritten_bytes_, 0);
+  account_unwritten();
   auto requests = std::move(requests_);
   requests_.clear();
   // All requests are detached before the listener is called, because while it handles one request, it may
@@ -89,7 +80,6 @@
   for (const auto& request : requests) request->detach_from_connection();
   for (auto& owned : requests) {
     ClientRequest& request = *owned;
-    context_.memory.in_flight_bytes -= request.accounted_bytes;
     context_.requests.finish(std::move(owned));
     if (request.has_response()) continue;
     context_.abandoned_requests.on_disconnect(request.request.client_request_id, request.request.route,
--- a/src/net/response_pipeline.hpp
+++ b/src/net/response_pipeline.hpp
@@ -4,12 +4,12 @@
 #include <deque>
 #include <initializer_list>
 #include <memory>
-#include <string>
 #include <string_view>
 #include <vector>
 
 #include "net/client_context.hpp"
 #include "net/client_request.hpp"
+#include "net/memory_share.hpp"
 #include "net/tcp_stream.hpp"
 
 namespace ironquay::net {
@@ -21,19 +21,18 @@
 class ResponsePipeline {
  public:
   // Both references must outlive the pipeline.
-  ResponsePipeline(ClientContext& context, TcpStream& stream) : context_(context), stream_(stream) {}
+  ResponsePipeline(ClientContext& context, TcpStream& stream)
+      : context_(context), stream_(stream), unwritten_memory_(context.memory.unwritten_bytes) {}
 
   // Adds a command that the connection has received.
   ClientRequest& enqueue(ClientConnection& connection);
-  // Counts `bytes` against the memory limit until the request is removed from the pipeline.
-  void account(ClientRequest& request, std::size_t bytes) const;
   // Writes the response to `request` and the buffered responses that directly follow it, or buffers the
   // response if earlier commands have none yet. `parts` are concatenated. Returns whether it was written.
   bool deliver(ClientRequest& request, std::initializer_list<std::string_view> parts);
-  // Whether a value of this size can be delivered: it can be written at once, or there is memory to keep it.
+  // Whether there is memory to keep a value of this size until it is written.
   bool has_room_for_value(const ClientRequest& request, std::size_t bytes) const;
 
-  // Responses that are written between begin_batch() and end_batch() are passed to the stream together.
+  // Responses that are written between begin_batch() and end_batch() are passed to the system together.
   void begin_batch() { in_batch_ = true; }
   void end_batch();
   bool in_batch() const { return in_batch_; }
@@ -50,16 +49,14 @@
 
  private:
   void write_first(std::initializer_list<std::string_view> parts);
-  void write(std::initializer_list<std::string_view> parts);
   void remove_first();
 
   ClientContext& context_;
   TcpStream& stream_;
   // The commands whose responses are not written yet, in the order in which they were received.
   std::deque<std::unique_ptr<ClientRequest>> requests_;
-  std::string batch_responses_;  // written in the current batch
   bool in_batch_ = false;
-  std::size_t accounted_unwritten_bytes_ = 0;  // this connection's share of ClientMemory::unwritten_bytes
+  MemoryShare unwritten_memory_;  // the memory of the stream's unwritten bytes
 };
 
 }  // namespace ironquay::net
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -27,7 +27,10 @@
       connected_ = true;
     }
   }
-  if (events & EPOLLOUT) flush();
+  if (events & EPOLLOUT) {
+    write_blocked_ = false;
+    flush();
+  }
   return connected_;
 }
 
@@ -57,6 +60,7 @@
 
 // After this the system reports no event, so the loop delivers one to the owner.
 void TcpStream::on_send_error(int error) {
+  write_blocked_ = true;
   if (error == EAGAIN) return;
   if (is_resource_shortage(error)) return loop_.requeue_later(token_, EPOLLOUT);
   end_ = ConnectionEnd::reset;
@@ -71,28 +75,33 @@
 }
 
 void TcpStream::write(std::initializer_list<std::string_view> parts) {
-  const bool writable = connected_ && unwritten_.empty() && end_ == ConnectionEnd::none;
-  const std::size_t sent_now = writable ? send_now(parts) : 0;
-  std::size_t sent = sent_now;
+  std::size_t sent = 0;
+  if (can_write() && unwritten_.empty()) {
+    std::array<iovec, kMaxWriteParts> buffers{};
+    std::size_t count = 0;
+    for (const std::string_view part : parts)
+      buffers[count++] = {const_cast<char*>(part.data()), part.size()};
+    sent = send_parts(std::span(buffers).first(count));
+  }
   for (std::string_view part : parts) {
     const std::size_t sent_of_part = std::min(sent, part.size());
     sent -= sent_of_part;
     part.remove_prefix(sent_of_part);
     unwritten_.append(part);
   }
-  const bool accepted_a_part = writable && sent_now > 0 && !unwritten_.empty();
-  if (accepted_a_part) flush();
+  // If the system accepted a part only, it may report no event.
+  flush();
 }
 
-// Returns the number of bytes that the system accepted; zero if the call failed. The rest is flushed at once
-// if the system accepted a part only, because it may report no event.
-std::size_t TcpStream::send_now(std::initializer_list<std::string_view> parts) {
-  std::array<iovec, kMaxWriteParts> buffers{};
-  std::size_t count = 0;
-  for (const std::string_view part : parts) buffers[count++] = {const_cast<char*>(part.data()), part.size()};
+void TcpStream::enqueue(std::initializer_list<std::string_view> parts) {
+  for (const std::string_view part : parts) unwritten_.append(part);
+}
+
+// Returns the number of bytes that the system accepted; zero if the call failed.
+std::size_t TcpStream::send_parts(std::span<iovec> parts) {
   msghdr message{};
-  message.msg_iov = buffers.data();
-  message.msg_iovlen = count;
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
   const ssize_t sent = retry_interrupted([&] { return sendmsg(socket_.get(), &message, MSG_NOSIGNAL); });
   if (sent < 0) on_send_error(errno);
   return sent > 0 ? static_cast<std::size_t>(sent) : 0;
@@ -100,20 +109,11 @@
 
 // Writes until everything is written or the system reports EAGAIN, after which it raises an event.
 void TcpStream::flush() {
-  if (!connected_ || unwritten_.empty() || end_ != ConnectionEnd::none) return;
-  std::size_t sent = 0;
-  while (sent < unwritten_.size()) {
-    const char* const next = unwritten_.data() + sent;
-    const ssize_t accepted =
-        retry_interrupted([&] { return send(socket_.get(), next, unwritten_.size() - sent, MSG_NOSIGNAL); });
-    if (accepted < 0) {
-      on_send_error(errno);
-      break;
-    }
-    sent += static_cast<std::size_t>(accepted);
+  std::array<iovec, kMaxFlushParts> parts;
+  while (can_write() && !unwritten_.empty()) {
+    const std::size_t count = unwritten_.describe_front(parts);
+    unwritten_.remove_front(send_parts(std::span(parts).first(count)));
   }
-  unwritten_.erase(0, sent);
-  if (unwritten_.empty()) release_memory(unwritten_);
 }
 
 void TcpStream::shutdown_write() { shutdown(socket_.get(), SHUT_WR); }
@@ -122,6 +122,7 @@
   if (end_ == ConnectionEnd::none) end_ = ConnectionEnd::closed_locally;
   loop_.unwatch(token_);
   socket_ = FileDescriptor();
+  unwritten_.clear();
 }
 
 bool TcpStream::has_ended(std::uint32_t events) const {
--- a/src/net/tcp_stream.hpp
+++ b/src/net/tcp_stream.hpp
@@ -1,7 +1,10 @@
 // One TCP connection as a pair of byte streams with buffers.
 #pragma once
+#include <sys/uio.h>
+
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -9,6 +12,7 @@
 #include "net/buffer_memory.hpp"
 #include "net/event_loop.hpp"
 #include "net/file_descriptor.hpp"
+#include "net/write_queue.hpp"
 
 namespace ironquay::net {
 
@@ -71,13 +75,18 @@
   // Writes as many bytes as the system accepts and buffers the rest. There may be at most kMaxWriteParts
   // parts. After a failure the owner receives an event.
   void write(std::initializer_list<std::string_view> parts);
+  // Buffers bytes that the next flush() writes.
+  void enqueue(std::initializer_list<std::string_view> parts);
+  void enqueue(std::string&& bytes) { unwritten_.append(std::move(bytes)); }
+  // Writes as many of the buffered bytes as the system accepts. The rest is written on later events.
+  void flush();
   // Half-closes the connection: the peer receives the end of stream.
   void shutdown_write();
   // Limits how many bytes a read may return, and so how many bytes the stream keeps if the owner consumes
   // none.
   void set_max_read_bytes(std::size_t bytes) { max_read_bytes_ = bytes; }
   void discard_unread() { release_memory(unread_); }
-  void discard_unwritten() { release_memory(unwritten_); }
+  void discard_unwritten() { unwritten_.clear(); }
   // Closes the socket immediately. Bytes passed to `consume` stay valid until the owner's handler returns.
   void close();
 
@@ -89,11 +98,11 @@
   // unread bytes may remain.
   bool has_ended(std::uint32_t events) const;
   bool all_written() const { return unwritten_.empty(); }
-  std::size_t unwritten_bytes() const { return unwritten_.size(); }
+  std::size_t unwritten_bytes() const { return unwritten_.bytes(); }
   std::string_view unread() const { return unread_; }
   // The memory in bytes that is allocated for unread(), and for the bytes that are not written yet.
   std::size_t unread_memory() const { return allocated_bytes(unread_); }
-  std::size_t unwritten_memory() const { return allocated_bytes(unwritten_); }
+  std::size_t unwritten_memory() const { return unwritten_.allocated_bytes(); }
   // Whether the last read returned fewer bytes than requested, which shows that the system had no more.
   bool receive_buffer_drained() const { return receive_buffer_drained_; }
   // Whether the last read returned fewer bytes than requested, so that the system probably had no more.
@@ -106,6 +115,8 @@
 
  private:
   static constexpr std::size_t kMaxWriteParts = 8;
+  // The maximum number of buffered segments that one system call writes.
+  static constexpr std::size_t kMaxFlushParts = 64;
   // A connection may fill the read buffer this many times per event. Together, these reads hold more than the
   // largest message.
   static constexpr int kMaxReadsPerEvent = 16;
@@ -113,18 +124,19 @@
   bool is_readable() const { return end_ == ConnectionEnd::none; }
   std::string_view receive();
   void retain_unconsumed(std::string_view bytes, std::size_t consumed);
-  std::size_t send_now(std::initializer_list<std::string_view> parts);
-  void flush();
+  bool can_write() const { return connected_ && !write_blocked_ && end_ == ConnectionEnd::none; }
+  std::size_t send_parts(std::span<iovec> parts);
   void on_receive_error(int error);
   void on_send_error(int error);
 
   EventLoop& loop_;
   FileDescriptor socket_;
   EventLoop::Token token_;
-  std::string unread_;     // received bytes that the owner has not consumed
-  std::string unwritten_;  // bytes that the system has not accepted yet
+  std::string unread_;    // received bytes that the owner has not consumed
+  WriteQueue unwritten_;  // bytes that the system has not accepted yet
   std::size_t max_read_bytes_ = EventLoop::kReadBufferBytes;
   bool connected_;
+  bool write_blocked_ = false;  // nothing is written until the next event
   bool receive_buffer_drained_ = false;
   bool short_read_ = false;
   ConnectionEnd end_ = ConnectionEnd::none;
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -67,7 +67,8 @@
       address_(address),
       stream_(loop, std::move(fd), *this, false),
       timeout_timer_(loop, [this] { on_timeout(); }),
-      opened_at_(loop.now()) {}
+      opened_at_(loop.now()),
+      buffered_memory_(budget.used_bytes) {}
 
 void UpstreamConnection::start_attempt(RequestId request, std::size_t attempt, Duration timeout) {
   start(Use::attempt, timeout);
@@ -165,9 +166,11 @@
   return bytes.size();
 }
 
-void UpstreamConnection::wait_for_more_bytes(std::size_t buffered_bytes) {
+// The bytes are in the stream's buffer, which may be larger, or the stream copies them to a buffer of their
+// size.
+void UpstreamConnection::wait_for_more_bytes(std::size_t received_bytes) {
   timeout_timer_.expire_at(std::min(deadline_, loop_.now() + kResponseGapTimeout));
-  set_buffered_bytes(buffered_bytes);
+  buffered_memory_.set(std::max(received_bytes, stream_.unread_memory()));
   if (budget_.exceeded()) close(UpstreamCloseReason::memory_limit, Outcome::malformed_response);
 }
 
@@ -221,7 +224,7 @@
 // the next attempt immediately.
 void UpstreamConnection::finish(Outcome outcome, std::string_view value, double actual_units) {
   timeout_timer_.stop();
-  set_buffered_bytes(0);
+  buffered_memory_.set(0);
   const Use use = std::exchange(use_, Use::idle);
   const Duration elapsed = loop_.now() - use_since_;
   use_since_ = loop_.now();
@@ -255,9 +258,4 @@
   return std::max(resp::kMaxValueBytes, budget_.limit_bytes / kBudgetDivisorPerResponse);
 }
 
-void UpstreamConnection::set_buffered_bytes(std::size_t bytes) {
-  budget_.used_bytes += bytes - buffered_bytes_;
-  buffered_bytes_ = bytes;
-}
-
 }  // namespace ironquay::net
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -5,6 +5,7 @@
 
 #include "config/settings_decoder.hpp"
 #include "net/event_loop.hpp"
+#include "net/memory_share.hpp"
 #include "net/resp.hpp"
 #include "net/socket.hpp"
 #include "net/tcp_stream.hpp"
@@ -33,7 +34,8 @@
 // Returns the reason code that is written to the log.
 const char* to_string(UpstreamCloseReason reason);
 
-// The memory for incomplete responses, which the connections to all workers share.
+// The memory for incomplete responses, which the connections to all workers share. It counts what is
+// allocated, which may be more than has been received.
 struct ResponseBufferBudget {
   std::size_t limit_bytes = 0;
   std::size_t used_bytes = 0;
@@ -108,7 +110,7 @@
   bool attempt_has_expired(std::uint32_t events);
   void on_timeout();
   std::size_t on_bytes(std::string_view bytes);
-  void wait_for_more_bytes(std::size_t buffered_bytes);
+  void wait_for_more_bytes(std::size_t received_bytes);
   bool on_reply(const resp::Reply& reply);
   bool on_health_check_reply(const resp::Reply& reply);
   bool on_error_reply(std::string_view error);
@@ -116,7 +118,6 @@
   void finish(Outcome outcome, std::string_view value = {}, double actual_units = 0);
   double actual_units(const resp::Reply& reply) const;
   std::size_t max_value_bytes() const;
-  void set_buffered_bytes(std::size_t bytes);
   bool is_outdated() const { return owner_.is_outdated(worker_, opened_at_); }
 
   EventLoop& loop_;
@@ -134,7 +135,7 @@
   Duration use_since_{0};                   // when the attempt, the health check or the idle time started
   Duration deadline_{0};                    // when the attempt or health check times out
   std::size_t commands_started_ = 0;        // number of attempts and health checks so far
-  std::size_t buffered_bytes_ = 0;          // bytes received of a response that is incomplete
+  MemoryShare buffered_memory_;             // the memory of a response that is incomplete
   bool attempt_waits_for_connect_ = false;  // its command is written when the connection is established
   bool out_of_sync_ = false;  // it is unknown which command the next bytes received would answer
   bool closed_ = false;
