--- a/src/net/client_close_reason.hpp
+++ b/src/net/client_close_reason.hpp
@@ -16,7 +16,7 @@
   no_command,                // the client was idle for too long and had sent nothing
   draining,                  // the gateway is shutting down gracefully
   memory_limit,              // incomplete commands exceeded their memory limit
-  slow_reader,               // the memory limit is exceeded and the client does not read its responses
+  slow_reader,               // memory is scarce and the client does not read its responses
 };
 
 // Returns the reason code that is written to the log.
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -40,7 +40,7 @@
       idle_since_(context.loop.now()),
       input_memory_(context.memory.input_bytes),
       arrival_clock_(unread_since.value_or(context.loop.now() - context.loop.scheduling_delay())),
-      linger_timer_(context.loop, [this] { on_linger_timeout(); }) {}
+      linger_timer_(context.loop, [this] { close(ClientCloseReason::linger_expired); }) {}
 
 void ClientConnection::on_events(std::uint32_t events) {
   context_.requests.release_finished();
@@ -67,7 +67,7 @@
   }
   if (has_incomplete_command()) context_.connections.mark_used(*this);
   after_progress();
-  if (context_.memory.input_is_exceeded()) context_.limiter.reject_incomplete_commands(context_.memory);
+  if (context_.memory.input_is_exceeded()) context_.limiter.reject_incomplete_commands();
   return has_unprocessed_input_ && !closed_;
 }
 
@@ -132,17 +132,18 @@
   return bytes;
 }
 
-// While memory is scarce, a client gets a response to its earlier commands before further ones are processed.
-// A connection without a pending command is not paused, because no response would resume it.
+// While memory is scarce, a client has to take the responses to its earlier commands before further ones are
+// processed. A connection without a pending command or response is not paused, because nothing would resume
+// it.
 bool ClientConnection::should_pause_reading() const {
+  const bool has_pending = !responses_.empty() || stream_.unwritten_bytes() > kScarceMemoryReadBytes;
   return responses_.size() >= kMaxPipelinedCommands || stream_.unwritten_bytes() > kMaxUnwrittenBytes ||
-         (!responses_.empty() && context_.memory.is_scarce());
+         (has_pending && context_.memory.is_scarce());
 }
 
 bool ClientConnection::may_resume_reading() const {
   return responses_.size() < kMaxPipelinedCommands / 2 &&
-         stream_.unwritten_bytes() < kMaxUnwrittenBytes / 2 &&
-         (responses_.empty() || !context_.memory.is_scarce());
+         stream_.unwritten_bytes() < kMaxUnwrittenBytes / 2 && !should_pause_reading();
 }
 
 void ClientConnection::resume_reading_if_possible() {
@@ -233,12 +234,6 @@
 void ClientConnection::after_progress() {
   resume_reading_if_possible();
   account_buffers();
-  if (is_slow_reader()) {
-    begin_close(ClientCloseReason::slow_reader);
-    // The timer discards the responses. They are not discarded here, because functions further up the stack
-    // may be using them.
-    return linger_timer_.expire_after(0s);
-  }
   if (context_.drain.is_draining && has_sent_command() && is_idle()) {
     // A command that the system has received but the gateway has not read yet must be processed as well.
     if (!nothing_to_read()) return schedule_turn();
@@ -254,9 +249,17 @@
   responses_.account_unwritten();
 }
 
-bool ClientConnection::is_slow_reader() const {
-  const std::size_t max_bytes = std::min(kMaxUnwrittenBytes, context_.memory.connection_share_bytes);
-  return !is_closing() && stream_.unwritten_bytes() > max_bytes && context_.memory.is_exceeded();
+bool ClientConnection::is_slow_reader() {
+  return read_progress_.is_too_slow(context_.read_requirement, context_.loop.now(), stream_.unwritten_bytes(),
+                                    stream_.accepted_bytes());
+}
+
+// The responses are given up: the client has not read them in time, and they occupy memory that others need.
+void ClientConnection::end_slow_reader() {
+  begin_close(ClientCloseReason::slow_reader);
+  stream_.discard_unwritten();
+  responses_.release_requests();
+  half_close();
 }
 
 void ClientConnection::shorten_deadlines(Duration time_left) {
@@ -297,18 +300,6 @@
   account_buffers();
 }
 
-void ClientConnection::on_linger_timeout() {
-  if (is_lingering()) return close(ClientCloseReason::linger_expired);
-  discard_responses();
-}
-
-// Drops all responses that are not written, and half-closes the connection.
-void ClientConnection::discard_responses() {
-  stream_.discard_unwritten();
-  responses_.release_requests();
-  half_close();
-}
-
 void ClientConnection::close(ClientCloseReason reason) {
   if (closed_) return;
   closed_ = true;
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -22,6 +22,7 @@
 #include "net/socket.hpp"
 #include "net/tcp_stream.hpp"
 #include "net/timer.hpp"
+#include "policy/read_progress.hpp"
 #include "policy/types.hpp"
 
 namespace ironquay::net {
@@ -60,6 +61,10 @@
   // Rejects the command of which only a part has been received, releases the memory of that part and closes
   // the connection.
   void reject_incomplete_command();
+  // Whether the client reads its responses too slowly. Called from time to time.
+  bool is_slow_reader();
+  // Drops all responses that are not written, and half-closes the connection.
+  void end_slow_reader();
   // Continues to read if the limits that stopped it allow it again.
   void resume_reading_if_possible();
   // Moves the deadline of each open request to `time_left` from now, unless it is earlier already.
@@ -120,12 +125,9 @@
   // ---- Writing responses
   void after_progress();
   void account_buffers();
-  bool is_slow_reader() const;
 
   // ---- Closing
-  void on_linger_timeout();
   void half_close();
-  void discard_responses();
 
   ClientContext& context_;
   TcpStream stream_;
@@ -133,10 +135,11 @@
   Address peer_;
   Duration idle_since_;       // start of the idle time that is_idle_for() checks
   MemoryShare input_memory_;  // the memory of the stream's unread bytes
+  ReadProgress read_progress_;
   ArrivalClock arrival_clock_;
-  Timer linger_timer_;         // closes a lingering connection; discards the responses of a slow reader
-  bool paused_ = false;        // no commands are processed until there is room for their responses
-  bool turn_is_over_ = false;  // set while input is processed
+  Timer linger_timer_;                  // closes a lingering connection
+  bool paused_ = false;                 // no commands are processed until there is room for their responses
+  bool turn_is_over_ = false;           // set while input is processed
   bool has_unprocessed_input_ = false;  // received commands wait for the next turn
   std::size_t command_count_ = 0;       // complete commands received on this connection
   std::size_t discarded_bytes_ = 0;     // input discarded since begin_close()
--- a/src/net/client_context.hpp
+++ b/src/net/client_context.hpp
@@ -13,6 +13,7 @@
 #include "net/request_listener.hpp"
 #include "net/request_registry.hpp"
 #include "policy/abandoned_requests.hpp"
+#include "policy/read_progress.hpp"
 #include "policy/types.hpp"
 
 namespace ironquay::net {
@@ -38,7 +39,8 @@
         memory{.limit_bytes = memory_limit_bytes,
                .connection_share_bytes = memory_limit_bytes / std::max<std::size_t>(max_connections, 1)},
         abandoned_requests(decoded_settings.policy_settings, memory_limit_bytes / kAbandonedRequestsDivisor),
-        limiter(event_loop, connections, max_connections),
+        read_requirement(decoded_settings.policy_settings, memory.connection_share_bytes),
+        limiter(event_loop, connections, memory, max_connections),
         turns(event_loop, requests, InputScheduling(decoded_settings.policy_settings, max_connections)) {}
   ~ClientContext() = default;
   ClientContext(const ClientContext&) = delete;
@@ -55,6 +57,7 @@
   RequestRegistry requests;
   AbandonedRequests abandoned_requests;
   ConnectionTable connections;
+  const ReadRequirement read_requirement;
   ConnectionLimiter limiter;
   ClientTurns turns;
   std::function<void()> on_connection_closed;  // called after a connection is closed; set by ClientAcceptor
--- a/src/net/client_drain.cpp
+++ b/src/net/client_drain.cpp
@@ -25,12 +25,6 @@
 // which the system retransmits unacknowledged data (TCP_USER_TIMEOUT, see socket.cpp).
 constexpr Duration kUnreadResponseTimeout = 20s;
 
-Duration longest_client_timeout(const PolicySettings& settings) {
-  Duration longest{0};
-  for (const Route& route : settings.routes) longest = std::max(longest, route.client_timeout);
-  return longest;
-}
-
 }  // namespace
 
 ClientDrain::ClientDrain(ClientContext& context, ClientAcceptor& acceptor)
--- a/src/net/client_memory.hpp
+++ b/src/net/client_memory.hpp
@@ -10,7 +10,7 @@
   // their commands do not cause the requests of other clients to be rejected.
   std::size_t limit_bytes = 0;
   std::size_t connection_share_bytes = 0;  // the limit divided by the number of connections
-  std::size_t input_bytes = 0;      // received bytes that are kept: incomplete commands, and unprocessed ones
+  std::size_t input_bytes = 0;  // received bytes that are kept: incomplete commands, and unprocessed ones
   // Commands until they are destroyed, and responses that wait for the responses to earlier commands.
   std::size_t in_flight_bytes = 0;
   std::size_t unwritten_bytes = 0;  // responses in TcpStream buffers, which the system has not accepted yet
--- a/src/net/connection_limiter.cpp
+++ b/src/net/connection_limiter.cpp
@@ -27,9 +27,10 @@
 }  // namespace
 
 ConnectionLimiter::ConnectionLimiter(EventLoop& loop, ConnectionTable& connections,
-                                     std::size_t max_connections)
+                                     const ClientMemory& memory, std::size_t max_connections)
     : loop_(loop),
       connections_(connections),
+      memory_(memory),
       max_connections_(std::max<std::size_t>(max_connections, 1)),
       check_timer_(loop, [this] { check_connections(); }) {
   check_timer_.expire_after(kCheckInterval);
@@ -85,19 +86,29 @@
   }
 }
 
-void ConnectionLimiter::reject_incomplete_commands(const ClientMemory& memory) {
+void ConnectionLimiter::reject_incomplete_commands() {
   for (ClientConnection* connection : connections_.active_snapshot()) {
-    if (!memory.input_is_exceeded()) return;
+    if (!memory_.input_is_exceeded()) return;
     if (connection->has_incomplete_command()) connection->reject_incomplete_command();
   }
 }
 
 void ConnectionLimiter::check_connections() {
   check_timer_.expire_after(kCheckInterval);
+  end_slow_readers();
   resume_paused_connections();
   close_idle_connections();
 }
 
+// Ends clients that do not read their responses while memory is scarce, those that were used least recently
+// first, until it is not scarce any more.
+void ConnectionLimiter::end_slow_readers() {
+  for (ClientConnection* connection : connections_.active_snapshot()) {
+    const bool is_slow = connection->is_slow_reader();
+    if (is_slow && memory_.is_scarce()) connection->end_slow_reader();
+  }
+}
+
 // A connection that was paused for lack of memory may be resumed after other connections have released some.
 void ConnectionLimiter::resume_paused_connections() {
   for (const auto& connection : connections_.active()) connection->resume_reading_if_possible();
--- a/src/net/connection_limiter.hpp
+++ b/src/net/connection_limiter.hpp
@@ -19,16 +19,17 @@
     pending_linger  // no capacity until a half-closed connection has lingered for kMinLinger; retry soon
   };
 
-  // Both references must outlive the limiter. `max_connections` is the limit on connections that are not
+  // The references must outlive the limiter. `max_connections` is the limit on connections that are not
   // half-closed.
-  ConnectionLimiter(EventLoop& loop, ConnectionTable& connections, std::size_t max_connections);
+  ConnectionLimiter(EventLoop& loop, ConnectionTable& connections, const ClientMemory& memory,
+                    std::size_t max_connections);
 
   // Returns whether a connection can be accepted. Evicts another connection if that is necessary.
   Capacity ensure_capacity();
 
   // Rejects incomplete commands, those that have waited for longest first, until the input is within its
   // limit or none is left.
-  void reject_incomplete_commands(const ClientMemory& memory);
+  void reject_incomplete_commands();
 
   // These functions maintain the number of connections that have carried a request and are not closing. If an
   // added connection exceeds the limit on that number, an idle one is closed.
@@ -40,11 +41,13 @@
   template <typename Predicate>
   ClientConnection* find_evictable(Predicate predicate) const;
   void check_connections();
+  void end_slow_readers();
   void resume_paused_connections();
   void close_idle_connections();
 
   EventLoop& loop_;
   ConnectionTable& connections_;
+  const ClientMemory& memory_;
   std::size_t max_connections_;
   std::size_t request_connections_ = 0;  // connections that have carried a request and are not closing
   Timer check_timer_;
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -104,7 +104,9 @@
   message.msg_iovlen = parts.size();
   const ssize_t sent = retry_interrupted([&] { return sendmsg(socket_.get(), &message, MSG_NOSIGNAL); });
   if (sent < 0) on_send_error(errno);
-  return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  const std::size_t accepted = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  accepted_bytes_ += accepted;
+  return accepted;
 }
 
 // Writes until everything is written or the system reports EAGAIN, after which it raises an event.
--- a/src/net/tcp_stream.hpp
+++ b/src/net/tcp_stream.hpp
@@ -99,6 +99,8 @@
   bool has_ended(std::uint32_t events) const;
   bool all_written() const { return unwritten_.empty(); }
   std::size_t unwritten_bytes() const { return unwritten_.bytes(); }
+  // All bytes that the system has accepted from this stream.
+  std::uint64_t accepted_bytes() const { return accepted_bytes_; }
   std::string_view unread() const { return unread_; }
   // The memory in bytes that is allocated for unread(), and for the bytes that are not written yet.
   std::size_t unread_memory() const { return allocated_bytes(unread_); }
@@ -134,6 +136,7 @@
   EventLoop::Token token_;
   std::string unread_;    // received bytes that the owner has not consumed
   WriteQueue unwritten_;  // bytes that the system has not accepted yet
+  std::uint64_t accepted_bytes_ = 0;
   std::size_t max_read_bytes_ = EventLoop::kReadBufferBytes;
   bool connected_;
   bool write_blocked_ = false;  // nothing is written until the next event
--- a/src/policy/settings.hpp
+++ b/src/policy/settings.hpp
@@ -4,6 +4,7 @@
 // src/config/settings_decoder.cpp maps its keys to these fields. "The platform" in this file is the
 // operators' environment in which gateways and workers run.
 #pragma once
+#include <algorithm>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -83,4 +84,11 @@
   Duration tick{0};                    // granularity of the clocks of gateways and workers
 };
 
+// Returns the longest client timeout of all routes; zero if there are none.
+inline Duration longest_client_timeout(const PolicySettings& settings) {
+  Duration longest{0};
+  for (const Route& route : settings.routes) longest = std::max(longest, route.client_timeout);
+  return longest;
+}
+
 }  // namespace ironquay
--- a/test/net/support/frontend_fixture.hpp
+++ b/test/net/support/frontend_fixture.hpp
@@ -38,6 +38,7 @@
 
   /// Starts a client connection.
   TestConnection connect() const { return TestConnection(connect_tcp(address_)); }
+  const Address& address() const { return address_; }
   /// Runs the loop for `duration`, or until it is stopped.
   void run_for(Duration duration) {
     Timer timer(loop, [this] { loop.stop(); });
