--- a/src/net/arrival_clock.hpp
+++ b/src/net/arrival_clock.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "policy/types.hpp"
 
@@ -13,9 +14,13 @@
   // `earliest`: the time before which nothing can have arrived.
   explicit ArrivalClock(Duration earliest) : drained_at_(earliest) {}
 
-  // An event reports input that had not arrived at the time `not_before`.
-  void on_input_event(Duration not_before) {
-    if (!waiting_since_) waiting_since_ = std::max(drained_at_, not_before);
+  // An event reports whether there is input. What it reports had not been there at the time `not_before`, if
+  // an earlier event has been received: the first event reports the state since the connection was accepted.
+  void on_event(bool has_input, Duration not_before) {
+    const bool is_first = !std::exchange(has_received_event_, true);
+    const Duration earliest = is_first ? drained_at_ : std::max(drained_at_, not_before);
+    if (has_input && !waiting_since_) waiting_since_ = earliest;
+    if (!has_input && !waiting_since_) drained_at_ = std::max(drained_at_, not_before);
   }
   // Bytes were received. `started_at` is the time before the system call; `drained` is whether the system had
   // no more bytes then.
@@ -43,6 +48,7 @@
   std::optional<Duration> waiting_since_;  // empty if no input is known to wait
   Duration drained_at_;                    // when the system last had no more bytes
   bool drained_ = false;
+  bool has_received_event_ = false;
 };
 
 }  // namespace ironquay::net
--- a/src/net/client_acceptor.cpp
+++ b/src/net/client_acceptor.cpp
@@ -69,6 +69,8 @@
 
 void ClientAcceptor::accept_pending() {
   if (!socket_ || !token_) return;
+  if (!waiting_since_) waiting_since_ = context_.loop.now() - context_.loop.scheduling_delay();
+  blocked_ = true;
   for (int accepts = 0; accepts < kMaxAcceptsPerEvent; ++accepts) {
     if (!ensure_capacity()) return;
     Address peer{};
@@ -76,12 +78,12 @@
     if (!socket) {
       // The connection was aborted while it was waiting, or a signal interrupted the call.
       if (is_transient_accept_error(errno)) continue;
-      if (errno == EAGAIN) return blocked_since_.reset();
+      if (errno == EAGAIN) return on_backlog_empty();
       return on_accept_error(errno);
     }
     last_accepted_at_ = context_.loop.now();
     context_.connections.add(
-        std::make_unique<ClientConnection>(context_, std::move(socket), peer, blocked_since_));
+        std::make_unique<ClientConnection>(context_, std::move(socket), peer, *waiting_since_));
   }
   context_.loop.requeue(*token_, EPOLLIN);
 }
@@ -90,7 +92,7 @@
 bool ClientAcceptor::ensure_capacity() {
   const ConnectionLimiter::Capacity capacity = context_.limiter.ensure_capacity();
   if (capacity == ConnectionLimiter::Capacity::available) return true;
-  mark_blocked();
+  if (!is_readable(socket_)) waiting_since_.reset();
   // If the capacity is exhausted, on_connection_closed() arranges the retry.
   if (capacity == ConnectionLimiter::Capacity::pending_linger) retry_timer_.expire_after(kLingerRetryDelay);
   return false;
@@ -101,15 +103,15 @@
     log("accept failed errno=%d connections=%zu", error, context_.connections.active().size());
     retry_timer_.expire_after(kAcceptErrorRetryDelay);
   }
-  mark_blocked();
 }
 
-void ClientAcceptor::on_connection_closed() {
-  if (blocked_since_) context_.loop.requeue(*token_, EPOLLIN);
+void ClientAcceptor::on_backlog_empty() {
+  blocked_ = false;
+  waiting_since_.reset();
 }
 
-void ClientAcceptor::mark_blocked() {
-  if (!blocked_since_) blocked_since_ = context_.loop.now();
+void ClientAcceptor::on_connection_closed() {
+  if (blocked_) context_.loop.requeue(*token_, EPOLLIN);
 }
 
 }  // namespace ironquay::net
--- a/src/net/client_acceptor.hpp
+++ b/src/net/client_acceptor.hpp
@@ -33,7 +33,7 @@
 
   bool is_started() const { return token_.has_value(); }
   // Whether connections may be waiting in the backlog because they could not be accepted.
-  bool has_backlog() const { return blocked_since_.has_value(); }
+  bool has_backlog() const { return blocked_; }
   // The time at which a connection was last accepted; zero if none has been.
   Duration last_accepted_at() const { return last_accepted_at_; }
 
@@ -41,14 +41,17 @@
   void on_events(std::uint32_t events) override;
   bool ensure_capacity();
   void on_accept_error(int error);
+  void on_backlog_empty();
   void on_connection_closed();
-  void mark_blocked();
 
   ClientContext& context_;
   Address address_;
   FileDescriptor socket_;
   std::optional<EventLoop::Token> token_;  // identifies the listening socket in the loop; set by start()
-  std::optional<Duration> blocked_since_;  // set while connections may be waiting in the backlog
+  bool blocked_ = false;  // accepting has stopped before the backlog was empty, and is tried again
+  // The earliest time since which a connection in the backlog may have been waiting. Empty if the backlog was
+  // empty when it was last looked at.
+  std::optional<Duration> waiting_since_;
   Duration last_accepted_at_{0};
   Timer retry_timer_;
 };
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -32,14 +32,14 @@
 }  // namespace
 
 ClientConnection::ClientConnection(ClientContext& context, FileDescriptor socket, const Address& peer,
-                                   std::optional<Duration> unread_since)
+                                   Duration unread_since)
     : context_(context),
       stream_(context.loop, std::move(socket), *this, true),
       responses_(context, stream_),
       peer_(peer),
       idle_since_(context.loop.now()),
       input_memory_(context.memory.input_bytes),
-      arrival_clock_(unread_since.value_or(context.loop.now() - context.loop.scheduling_delay())),
+      arrival_clock_(unread_since),
       linger_timer_(context.loop, [this] { close(ClientCloseReason::linger_expired); }) {}
 
 void ClientConnection::on_events(std::uint32_t events) {
@@ -49,7 +49,7 @@
   if (events & (EPOLLERR | EPOLLHUP)) return close(ClientCloseReason::client_reset);
   if (events & EPOLLRDHUP) return close(ClientCloseReason::client_eof);
   stream_.make_progress(events);
-  if (events & EPOLLIN) arrival_clock_.on_input_event(context_.loop.now() - context_.loop.scheduling_delay());
+  arrival_clock_.on_event(events & EPOLLIN, context_.loop.now() - context_.loop.scheduling_delay());
   schedule_turn();
   after_progress();
 }
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -41,10 +41,9 @@
   // trips of the slowest client.
   static constexpr Duration kMinLinger = std::chrono::milliseconds(50);
 
-  // `unread_since` is the time since which connections have been waiting to be accepted. It is empty if they
-  // have been accepted without delay. The context must outlive the connection.
-  ClientConnection(ClientContext& context, FileDescriptor socket, const Address& peer,
-                   std::optional<Duration> unread_since);
+  // `unread_since` is the earliest time at which the client may have connected. The context must outlive the
+  // connection.
+  ClientConnection(ClientContext& context, FileDescriptor socket, const Address& peer, Duration unread_since);
 
   void on_events(std::uint32_t events) override;
   // Processes input until the turn is over. Returns whether the connection needs another turn. Called by
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -38,7 +38,8 @@
   now_ = precise_now();
   longest_iteration_ = std::max(longest_iteration_, busy);
   const Duration overdue = timers_.empty() ? Duration(0) : now_ - timers_.front()->expires_at_;
-  scheduling_delay_ = std::max({busy, overdue, Duration(0)});
+  const Duration left_since = events_were_left_ ? scheduling_delay_ : Duration(0);
+  scheduling_delay_ = std::max({left_since + busy, overdue, Duration(0)});
 }
 
 Duration EventLoop::precise_now() const { return epoch_ + monotonic_time(); }
@@ -120,6 +121,7 @@
         epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), epoll_timeout_ms());
     if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
     update_clock(busy_time);
+    events_were_left_ = count == static_cast<int>(events.size());
     // Input is handled before timers, so that after the process was delayed, a response that has already
     // arrived is not treated as timed out.
     dispatch_requeued();
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -154,6 +154,7 @@
   std::unique_ptr<Timer> retry_timer_;  // for requeued_later_ and pending_watches_
   std::unique_ptr<ReadBuffer> read_buffer_;
   bool read_buffer_locked_ = false;
+  bool events_were_left_ = false;  // the last epoll_wait() returned as many events as it may
   bool running_ = true;
 };
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -113,6 +114,11 @@
   return socket;
 }
 
+bool is_readable(const FileDescriptor& socket) {
+  pollfd state{socket.get(), POLLIN, 0};
+  return retry_interrupted([&] { return poll(&state, 1, 0); }) > 0;
+}
+
 FileDescriptor connect_tcp(const Address& address) {
   FileDescriptor socket = create_socket(SOCK_STREAM);
   if (!socket) return socket;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -35,6 +35,8 @@
 FileDescriptor listen_tcp(const Address& address);
 // Accepts one pending connection and stores the address of its client in `peer`.
 FileDescriptor accept_connection(const FileDescriptor& listener, Address& peer);
+// Whether the socket has bytes or an end of stream to read, or a connection to accept. Makes a system call.
+bool is_readable(const FileDescriptor& socket);
 // Starts to connect. The connect may still be in progress when the function returns.
 FileDescriptor connect_tcp(const Address& address);
 // Returns a UDP socket that is bound to the address. If the address is in use, blocks and retries like
