The wait of each connection in the backlog counts from when it came at the earliest

BacklogClock notes how many connections have come until a time; they are accepted in order, so each later one came after it. The length of the backlog comes from TCP_INFO of the listening socket; if the system does not tell, the last known number stands.

--- a/src/net/client_acceptor.cpp
+++ b/src/net/client_acceptor.cpp
@@ -50,6 +50,7 @@
     : context_(context),
       address_(address),
       socket_(bind_tcp(address)),
+      backlog_clock_(context.loop.now()),
       retry_timer_(context.loop, [this] { accept_pending(); }) {
   if (!socket_) throw_listen_error(address_);
   context_.on_connection_closed = [this] { on_connection_closed(); };
@@ -69,7 +70,7 @@
 
 void ClientAcceptor::accept_pending() {
   if (!socket_ || !token_) return;
-  if (!waiting_since_) waiting_since_ = context_.loop.now() - context_.loop.scheduling_delay();
+  observe_backlog();
   blocked_ = true;
   for (int accepts = 0; accepts < kMaxAcceptsPerEvent; ++accepts) {
     if (!ensure_capacity()) return;
@@ -78,12 +79,14 @@
     if (!socket) {
       // The connection was aborted while it was waiting, or a signal interrupted the call.
       if (is_transient_accept_error(errno)) continue;
-      if (errno == EAGAIN) return on_backlog_empty();
-      return on_accept_error(errno);
+      if (errno != EAGAIN) return on_accept_error(errno);
+      backlog_clock_.on_length(context_.loop.now(), 0);
+      blocked_ = false;
+      return;
     }
     last_accepted_at_ = context_.loop.now();
     context_.connections.add(
-        std::make_unique<ClientConnection>(context_, std::move(socket), peer, *waiting_since_));
+        std::make_unique<ClientConnection>(context_, std::move(socket), peer, backlog_clock_.on_accepted()));
   }
   context_.loop.requeue(*token_, EPOLLIN);
 }
@@ -92,7 +95,6 @@
 bool ClientAcceptor::ensure_capacity() {
   const ConnectionLimiter::Capacity capacity = context_.limiter.ensure_capacity();
   if (capacity == ConnectionLimiter::Capacity::available) return true;
-  if (!is_readable(socket_)) waiting_since_.reset();
   // If the capacity is exhausted, on_connection_closed() arranges the retry.
   if (capacity == ConnectionLimiter::Capacity::pending_linger) retry_timer_.expire_after(kLingerRetryDelay);
   return false;
@@ -105,9 +107,14 @@
   }
 }
 
-void ClientAcceptor::on_backlog_empty() {
-  blocked_ = false;
-  waiting_since_.reset();
+// Notes how many connections are waiting. An event would have told of another one that came before this
+// iteration.
+void ClientAcceptor::observe_backlog() {
+  const EventLoop& loop = context_.loop;
+  backlog_clock_.on_no_arrival_until(loop.now() - loop.scheduling_delay());
+  const Duration time = loop.precise_now();
+  const std::optional<std::size_t> length = is_readable(socket_) ? backlog_length(socket_) : 0;
+  length ? backlog_clock_.on_length(time, *length) : backlog_clock_.on_unknown_length();
 }
 
 void ClientAcceptor::on_connection_closed() {
--- a/src/net/client_acceptor.hpp
+++ b/src/net/client_acceptor.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "net/backlog_clock.hpp"
 #include "net/client_context.hpp"
 #include "net/event_loop.hpp"
 #include "net/file_descriptor.hpp"
@@ -41,7 +42,7 @@
   void on_events(std::uint32_t events) override;
   bool ensure_capacity();
   void on_accept_error(int error);
-  void on_backlog_empty();
+  void observe_backlog();
   void on_connection_closed();
 
   ClientContext& context_;
@@ -49,9 +50,7 @@
   FileDescriptor socket_;
   std::optional<EventLoop::Token> token_;  // identifies the listening socket in the loop; set by start()
   bool blocked_ = false;  // accepting has stopped before the backlog was empty, and is tried again
-  // The earliest time since which a connection in the backlog may have been waiting. Empty if the backlog was
-  // empty when it was last looked at.
-  std::optional<Duration> waiting_since_;
+  BacklogClock backlog_clock_;
   Duration last_accepted_at_{0};
   Timer retry_timer_;
 };
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -119,6 +119,15 @@
   return retry_interrupted([&] { return poll(&state, 1, 0); }) > 0;
 }
 
+// For a listening socket, the field of unacknowledged segments is the length of the backlog.
+std::optional<std::size_t> backlog_length(const FileDescriptor& listener) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(listener.get(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  if (info.tcpi_state != TCP_LISTEN || info.tcpi_unacked == 0) return std::nullopt;
+  return info.tcpi_unacked;
+}
+
 FileDescriptor connect_tcp(const Address& address) {
   FileDescriptor socket = create_socket(SOCK_STREAM);
   if (!socket) return socket;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -37,6 +37,9 @@
 FileDescriptor accept_connection(const FileDescriptor& listener, Address& peer);
 // Whether the socket has bytes or an end of stream to read, or a connection to accept. Makes a system call.
 bool is_readable(const FileDescriptor& socket);
+// Returns how many connections wait to be accepted; at least one. Empty if the system does not tell. Makes a
+// system call.
+std::optional<std::size_t> backlog_length(const FileDescriptor& listener);
 // Starts to connect. The connect may still be in progress when the function returns.
 FileDescriptor connect_tcp(const Address& address);
 // Returns a UDP socket that is bound to the address. If the address is in use, blocks and retries like
--- a/test/net/arrival_time_test.cpp
+++ b/test/net/arrival_time_test.cpp
@@ -73,6 +73,18 @@
   REQUIRE(full.time_left_after_close() <= kTimeout - kWait);
 }
 
+TEST_CASE("each connection that waits while no other is permitted has waited since it came") {
+  FullFrontend full;
+  const TestConnection early = send_request(full.fixture, 10);
+  full.fixture.run_for(kWait);
+  const TestConnection late = send_request(full.fixture, 11);
+  full.fixture.run_for(10ms);
+  for (TestConnection& client : full.clients) client.close();
+  REQUIRE(full.fixture.run_until_requests(4));
+  REQUIRE(full.fixture.received_time_left[2] <= kTimeout - kWait);
+  REQUIRE(full.fixture.received_time_left[3] > kTimeout - kSlack);
+}
+
 TEST_CASE("a request has its whole time left if no connection waited before while none was permitted") {
   FullFrontend full;
   full.fixture.run_for(2 * kWait);
