Lint: the parts of a flush are initialized

clang-tidy reported the uninitialized array of TcpStream::flush. It is now set in the loop, so that a flush without unwritten bytes pays nothing.

--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -111,8 +111,8 @@
 
 // Writes until everything is written or the system reports EAGAIN, after which it raises an event.
 void TcpStream::flush() {
-  std::array<iovec, kMaxFlushParts> parts;
   while (can_write() && !unwritten_.empty()) {
+    std::array<iovec, kMaxFlushParts> parts{};
     const std::size_t count = unwritten_.describe_front(parts);
     unwritten_.remove_front(send_parts(std::span(parts).first(count)));
   }
