Test of clients that read nothing: continue behind a partial write

Traced: where the system took only a part of the commands, the test began again with a whole one, so that the gateway saw a malformed command and closed the connection. The test now continues where the write ended. It uses 6 clients and 256 KiB instead of 20 and 1 MiB, and commands whose response is twice as long, so that a slow build fills the buffers in time; the bound is the limit, as before.

--- a/test/net/slow_reader_test.cpp
+++ b/test/net/slow_reader_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 
 #include "support/frontend_fixture.hpp"
 
@@ -125,23 +126,31 @@
 }
 
 TEST_CASE("clients that read nothing stay within the memory limit with small responses, too") {
-  constexpr std::size_t kSmallLimit = std::size_t{1} << 20;
-  constexpr std::size_t kClients = 20;
+  constexpr std::size_t kSmallLimit = std::size_t{256} * 1024;
+  constexpr std::size_t kClients = 6;
   FrontendFixture fixture(25, 3000, kSmallLimit);
   std::vector<TestConnection> clients;
   for (std::size_t i = 0; i < kClients; ++i) clients.push_back(connect_with_small_buffers(fixture));
-  std::string pings;
-  for (int i = 0; i < 4000; ++i) pings += kPing;
+  // The response is twice as long as the command.
+  const std::string command = resp_array({"x"});
+  std::string commands;
+  for (int i = 0; i < 5000; ++i) commands += command;
+  std::array<std::size_t, kClients> sent{};
   std::size_t largest = 0;
-  const auto send_pings = [&] {
-    for (const TestConnection& client : clients)
-      ::send(client.fd().get(), pings.data(), pings.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  const auto send_commands = [&] {
+    for (std::size_t i = 0; i < kClients; ++i) {
+      // Continues in the middle of a command if the system took only a part of it.
+      const std::string_view bytes = std::string_view(commands).substr(sent[i] % command.size());
+      const ssize_t size =
+          ::send(clients[i].fd().get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (size > 0) sent[i] += static_cast<std::size_t>(size);
+    }
     largest = std::max(largest, fixture.frontend.state().memory.used_bytes());
     return largest > kSmallLimit / 2;
   };
-  REQUIRE(fixture.run_until(send_pings));
+  REQUIRE(fixture.run_until(send_commands));
   for (int round = 0; round < 200; ++round) {
-    send_pings();
+    send_commands();
     fixture.run_for(2ms);
   }
   REQUIRE(largest <= kSmallLimit);
