A connection that leaves the backlog unaccepted does not make later ones seem older

Every later connection then got the time of the one before it, and its request could be rejected though it had time. The count is now set right whenever the length of the backlog is known.

The new test asks for 9 s; the code before gives 0 s.

--- a/src/net/backlog_clock.hpp
+++ b/src/net/backlog_clock.hpp
@@ -20,6 +20,7 @@
   // At the given time, this many connections were waiting to be accepted.
   void on_length(Duration time, std::size_t waiting) {
     const std::uint64_t arrived = std::max(samples_.back().arrived, accepted_ + waiting);
+    accepted_ = arrived - waiting;  // connections that left the backlog unaccepted are counted as accepted
     const Duration latest = std::max(samples_.back().time, time);
     if (arrived == samples_.back().arrived) samples_.pop_back();
     samples_.push_back({latest, arrived});
--- a/test/net/arrival_time_test.cpp
+++ b/test/net/arrival_time_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "net/backlog_clock.hpp"
 #include "support/frontend_fixture.hpp"
 
 namespace ironquay::net {
@@ -85,6 +86,16 @@
   REQUIRE(full.fixture.received_time_left[3] > kTimeout - kSlack);
 }
 
+TEST_CASE("a connection that leaves the backlog unaccepted does not make later ones seem older") {
+  BacklogClock clock(0s);
+  clock.on_length(1s, 2);
+  REQUIRE(clock.on_accepted() == 0s);
+  clock.on_length(2s, 0);  // the second one has gone
+  clock.on_no_arrival_until(9s);
+  clock.on_length(10s, 1);
+  REQUIRE(clock.on_accepted() == 9s);
+}
+
 TEST_CASE("a request has its whole time left if no connection waited before while none was permitted") {
   FullFrontend full;
   full.fixture.run_for(2 * kWait);
